--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -1,139 +1,96 @@
 """The decisions of one marshal: which node gets a shot, what follows a failure, and which build goes on.
 
-A front (types: interface.py, peers.py) makes one Marshal for each marshal, sets its `now` and calls its on_
-method for each event, and carries out what it then finds in `acts`. Each invocation is the generator `serve`:
-it yields Shot, Wait, Rejected or BrokenOff and is resumed with the ending of a shot, or with None when its
-patience has run out. Times are seconds. Why things are so, and the paper: docs/design.md.
+A front (types: interface.py, peers.py) makes one Marshal for each marshal, sets its `now`, calls its on_
+method for each event and carries out what it then finds in `acts`. Each invocation is the generator `serve`:
+it yields Shot, Wait, Rejected or BrokenOff and is resumed with a shot's ending, or None when its patience is
+out. Times are seconds. Why things are so: docs/design.md.
 """
 
 from collections import deque  # noqa: I001
 from collections.abc import Generator, Sequence
-from itertools import count
+from itertools import count, islice
 from math import exp, log
+from operator import attrgetter
 from random import Random
 from statistics import median_high
 
-from gatebank.interface import (
-    Act, BreakOff, BrokenOff, Condition, Ended, Ending, FollowRoll, Heard, Invocation, Note, Phase, Plain,
-    Probe, Reject, Rejected, Repeats, RollEntry, Shoot, Shot, StageNews, StandingOrders, Tell, Verdict, Vote,
-    Wait, Wake, Wish, Withdraw, Word,
-)
-from gatebank.peers import Step, Totals
+from gatebank.interface import (  # fmt: skip
+    NEVER_RAN, Act, BreakOff, BrokenOff, Condition, Ended, Ending, FollowRoll, Heard, Invocation, Note, Phase,
+    Plain, Probe, Reject, Rejected, Repeats, RollEntry, Shoot, Shot, StageNews, StandingOrders, Tell, Verdict,
+    Vote, Wait, Wake, Wish, Withdraw, Word)
+from gatebank.peers import Fleet, Step, Totals, together
+from gatebank.records import Node, Task, forget, learned
 
-NEVER_RAN = (Ending.TURNED_AWAY, Ending.NO_CONNECTION, Ending.NOT_SENT)
 BEAT = 0.25  # s between looks at what only time changes; a quarter of the design's 1 s remainder
 
 
-def learned(was: tuple[float, int], value: float, least: float) -> tuple[float, int]:
-    """A mean that forgets: the plain mean at first, then each new value weighs ``least``."""
-    return was[0] + (value - was[0]) * max(least, 1 / (was[1] + 1)), was[1] + 1
-
-
-class Node:
-    """What this marshal knows of one node; dropped when the roll drops it."""
-
-    def __init__(self, entry: RollEntry) -> None:
-        self.entry = entry
-        self.held, self.silent_since = 0, 0.0  # own shots out; since when none of them has ended
-        self.slow, self.told_at = 1.0, 0.0  # its times over the usual ones; when it last showed any
-        self.drag, self.late_at = (1.0, 0), 0.0  # its times over those before this build came; last late one
-        self.faults = 0.0  # share of its recent shots that failed
-        self.aside, self.hold, self.probes_answered = False, 1.0, 0
-        self.tokens, self.tokens_at = 1.0, 0.0  # shots it may still be sent while cold
-
-
-class Task:
-    """An invocation in hand; dropped with its final answer."""
-
-    def __init__(self, invocation: Invocation, orders: StandingOrders, now: float) -> None:
-        self.invocation, self.orders = invocation, orders  # the standing orders of its workload
-        self.came, self.deadline, self.repeats = now, now + invocation.left, orders["repeats"]
-        self.shots: list[tuple[Node, float]] = []
-        self.endings: list[Ending | None] = []  # None while it is out
-        self.story: Generator[Wish, Ended | None, None]
-        self.wake = 0  # which wake it waits for
-
-    def may_have_run(self) -> list[tuple[Node, float]]:
-        return [shot for shot, end in zip(self.shots, self.endings, strict=True) if end not in NEVER_RAN]
-
-
 class Trial:
-    """The LLRs of one build at one stage, this marshal's own and, at a fuser, the sums of all marshals'.
-
-    Ratio 0 is the design's, what broke, workloads pooled. Lost in it, and so counted apart to hold a build or
-    send it back, never to push it on: LATE, answers late beside the earlier build's; EVERYWHERE, late beside
-    the time before this build came; FIRST + w, what broke in workload w."""
+    """The LLRs of one build at one stage, own and fused. Ratio 0 is the design's: what broke, all workloads.
+    Lost in it, so counted apart to hold a build or send it back, never to push it on: LATE, late beside the
+    earlier build; EVERYWHERE, beside the time before this build came; FIRST + w, what broke in workload w."""
 
     LATE, EVERYWHERE, FIRST = 1, 2, 3
-    ALPHA, BETA = 0.005, 0.25  # every stage tests anew, and what passed wrongly can still be sent back
-    A, B = log(1 / ALPHA), log(1 / BETA)
-    DELTA, LEVELS, LEVEL = 1.0, 16, 0.25  # the design's start; 16 levels span the largest jump of one outcome
+    A, B = log(1 / 0.005), log(1 / 0.25)  # α, β: every stage tests anew, and what passed can still go back
+    DELTA, LEVELS, LEVEL = 1.0, 16, 0.25  # the design's start; 16 levels span one outcome's largest jump
     FLOOR, FALLBACK = 10, 5.0  # outcomes and seconds, the design's
-    # p1 = a x p0 + b, and p0 while unknown. Failing 4% is just over the line, being late twice as often too
-    # (5% of exponential times are over three usual ones). One workload's failures are many or none.
-    ODDS = {0: (3, 0.06, 0.01), LATE: (5, 0.03, 0.05), EVERYWHERE: (3, 0.03, 0.05)}  # noqa: RUF012
-    ODDS_OF_ONE_WORKLOAD = (3, 0.2, 0.01)
+    # p1 = a x p0 + b, and p0 while unknown. Failing 4% is just over the line, late twice as often as the 5%
+    # of exponential times over three usual ones too. One workload's failures are many or none.
+    ODDS = ((3, 0.06, 0.01), (5, 0.03, 0.05), (3, 0.03, 0.05), (3, 0.2, 0.01))
 
-    def __init__(self, build: int, stage: int, ratios: int, life: int) -> None:
-        self.build, self.stage, self.life = build, stage, life
+    def __init__(self, news: StageNews, ratios: int, life: int) -> None:
+        self.build, self.released, self.life = news.build or 0, news.phase is Phase.RELEASED, life
+        self.stage, self.judged_since, self.passed = (news.stage or 0) + self.released, 0.0, False
         self.own, self.unsent = [(0.0, 0)] * ratios, [(0.0, 0)] * ratios  # sums and outcomes
-        self.sums, self.lowest = [0.0] * ratios, [0.0] * ratios
-        # Other marshals' sums by (marshal, life), a restart beginning a new row; and what raised each sum, by
-        # the mark that all marshals have for a node. All go with the stage.
+        self.sums, self.seen = [0.0] * ratios, 0  # fused
+        # Other marshals' sums by (marshal, life), and what raised each sum by node: gone with the stage.
         self.heard: dict[tuple[int, int], dict[int, tuple[float, int]]] = {}
         self.blame: list[dict[int, float]] = [{} for _ in range(ratios)]
-        self.judged_since, self.passed = 0.0, False
+
+    def fuse(self, ratio: int, step: float, seen: int, mark: int | None = None) -> None:
+        """Into the sum, held at its lower bound: what turns bad is not covered by its past."""
+        bound = self.A if self.released or ratio == self.LATE else self.B  # clumps; a whole fleet's outcomes
+        self.sums[ratio] = max(-bound, self.sums[ratio] + step)
+        self.seen += seen if ratio == 0 else 0
+        if mark is not None and step > 0:
+            self.blame[ratio][mark] = self.blame[ratio].get(mark, 0.0) + step
 
     def count(self, ratio: int, step: float, mark: int, chance: float) -> Step | None:
-        """Add an outcome; past Δ a message: the sign, Δ plus the overshoot rounded at random to a level so
-        that its mean is kept, the outcomes since the last, and the node that tipped it."""
-        self.blame[ratio][mark] = self.blame[ratio].get(mark, 0.0) + max(0.0, step)
+        """Add an outcome; past Δ a message: sign, Δ + overshoot rounded at random so that the mean holds."""
+        self.fuse(ratio, step, 1, mark)
         self.own[ratio] = (self.own[ratio][0] + step, self.own[ratio][1] + 1)
         value, seen = self.unsent[ratio][0] + step, self.unsent[ratio][1] + 1
         tells = abs(value) >= self.DELTA
         self.unsent[ratio] = (0.0, 0) if tells else (value, seen)
         level = min(self.LEVELS, int((abs(value) - self.DELTA) / self.LEVEL + chance)) + 1
-        signed = level if value > 0 else -level
-        return Step(self.life, self.build, self.stage, ratio, signed, seen, mark) if tells else None
-
-    def totals(self, rate: float) -> Totals:
-        """The 1 s remainder, told as the whole sum so far: it heals lost, late and repeated steps."""
-        self.unsent = [(0.0, 0)] * len(self.own)
-        return Totals(self.life, self.build, self.stage, rate, {r: s for r, s in enumerate(self.own) if s[1]})
+        what = (ratio, level if value > 0 else -level, seen, mark)
+        return Step(self.life, self.build, self.stage, *what) if tells else None
 
     def hear(self, peer: int, word: Step | Totals) -> None:
         if (word.build, word.stage) != (self.build, self.stage):
             return
-        row = self.heard.setdefault((peer, word.life), {})
-        if isinstance(word, Totals):
-            row.update(word.sums)
-        else:
-            value, seen = row.get(word.ratio, (0.0, 0))
-            size = self.DELTA + (abs(word.level) - 1) * self.LEVEL
-            row[word.ratio] = (value + (size if word.level > 0 else -size), seen + word.seen)
-            if word.level > 0 and word.ratio < len(self.blame):
-                self.blame[word.ratio][word.mark] = self.blame[word.ratio].get(word.mark, 0.0) + size
-
-    def verdict(self, now: float, released: bool, nodes: int) -> Verdict:
-        """The fused SPRT: back at A, on at -B or by the fallback. A sum is held at its lower bound: what
-        turns bad is not covered by its past. A sick machine is no bad build: the worst third of its nodes
-        counts for A/3 more than the rest at most. Harmful where a build is bad on few nodes only."""
-        rows, worst = list(self.heard.values()), (nodes + 1) // 3 if nodes > 1 else 0
-        for r, (own, _) in enumerate(self.own):
-            blame = sorted(self.blame[r].values(), reverse=True) if r != self.EVERYWHERE else []
-            excess = max(0.0, sum(blame[:worst]) - sum(blame[worst:]) - self.A / 3)
-            total = own + sum(row[r][0] for row in rows if r in row) - excess
-            self.lowest[r] = min(self.lowest[r], total)
-            # Late answers come in clumps; after the release there is a whole fleet's worth of outcomes.
-            bound = self.A if released or r == self.LATE else self.B
-            self.sums[r] = total - min(0.0, self.lowest[r] + bound)
-        seen = self.own[0][1] + sum(row[0][1] for row in rows if 0 in row)
-        if seen and not self.judged_since:
+        row, sums = self.heard.setdefault((peer, word.life), {}), getattr(word, "sums", {})
+        if isinstance(word, Step):  # totals hold whole sums: they heal lost, late and repeated steps
+            was, size = row.get(word.ratio, (0.0, 0)), self.DELTA + (abs(word.level) - 1) * self.LEVEL
+            sums = {word.ratio: (was[0] + (size if word.level > 0 else -size), was[1] + word.seen)}
+        for ratio, (value, seen) in sums.items():
+            if ratio < len(self.sums):
+                was, row[ratio] = row.get(ratio, (0.0, 0)), (value, seen)
+                self.fuse(ratio, value - was[0], seen - was[1], getattr(word, "mark", None))
+
+    def verdict(self, now: float, nodes: int) -> Verdict:
+        """The fused SPRT: back at A, on at -B or by the fallback. A sick machine is no bad build: the worst
+        third of its nodes counts for A/3 more than the rest at most. Harmful where it is bad on few only."""
+        doubts, worst = list(self.sums), (nodes + 1) // 3 if nodes > 1 else 0
+        for r, total in enumerate(self.sums):
+            if worst and total >= self.A / 2 and r != self.EVERYWHERE:
+                blame = sorted(self.blame[r].values(), reverse=True)
+                doubts[r] -= max(0.0, sum(blame[:worst]) - sum(blame[worst:]) - self.A / 3)
+        if self.seen and not self.judged_since:
             self.judged_since = now
-        if max(self.sums) >= self.A:
+        if max(doubts) >= self.A:
             return Verdict.BACK
-        broke = max(total for r, total in enumerate(self.sums) if r != self.LATE)
-        if released or seen < self.FLOOR or max(broke, self.sums[self.LATE] - self.A / 4) >= self.A / 2:
+        doubts[self.LATE] -= self.A / 4
+        if self.released or self.seen < self.FLOOR or max(doubts) >= self.A / 2:
             return Verdict.NONE
         fallback = now - self.judged_since >= self.FALLBACK  # from the first outcome on: docs/design.md
         self.passed = self.passed or self.sums[0] <= -self.B or fallback
@@ -144,52 +101,65 @@
     def __init__(self, standing_orders: StandingOrders, seed: int, now: float) -> None:
         chance = Random(seed)
         self.sample, self.random = chance.sample, chance.random
-        self.orders, self.now, self.began = standing_orders, now, now
-        self.me, self.life = standing_orders["me"], chance.getrandbits(16)
-        self.workloads, marshals = standing_orders["workloads"], standing_orders["marshals"]
+        self.orders, self.workloads = standing_orders, standing_orders["workloads"]
+        self.present_time, self.woke_at, self.began = now, 0.0, now
+        self.me, marshals, self.life = self.orders["me"], self.orders["marshals"], chance.getrandbits(16)
         needed = max(standing_orders.get("on_votes", 1), standing_orders.get("back_votes", 1))
         self.fusers = range(min(max(3, needed), marshals))  # the design's three, more where votes need them
-        self.acts: list[Act] = [Wake(now + BEAT, "beat")]
+        self.acts: list[Act] = [FollowRoll()] if self.orders.get("roll_mode") == "ask" else []
+        self.acts.append(Wake(now + BEAT, "beat"))
         self.nodes: dict[int, Node] = {}  # as the roll has them
         self.ready: list[Node] = []  # those that may be sent to
         self.tasks: dict[int, Task] = {}
         self.out: dict[tuple[int, int], tuple[Node, int, int]] = {}  # shots out; emptied by endings
-        self.taken: deque[tuple[float, int, int, bool]] = deque()  # arrivals; emptied by time
-        self.answers: deque[float] = deque()  # when shots were answered; emptied by time
-        self.sent_to: dict[int, deque[tuple[float, int]]] = {}  # shots by build; emptied by time
+        # Emptied by time: arrivals; satisfied shots (when, workload, took); shots, a row a build.
+        self.taken: deque[tuple[float, int, int, bool]] = deque()
+        self.answers: deque[tuple[float, int, float]] = deque()
+        self.sent_to: dict[int, deque[tuple[float, int]]] = {}
         self.stayed: dict[int, int] = {}  # keys bound to a build; emptied when it goes back or another comes
-        # Usual times and how many made them: of all nodes by workload; of the earlier build's by workload and
-        # machine kind; those last, and the load, before the build on trial came.
-        self.pace, self.longest = [(0.0, 0)] * len(self.workloads), 1.0
+        # Usual times and how many made them: by workload; the earlier build's, by workload and machine kind;
+        # those, and the load, before the build on trial came.
+        self.pace, self.longest, self.rate = [(0.0, 0)] * len(self.workloads), 1.0, 0.0
         self.earlier_pace: dict[tuple[int, int], tuple[float, int]] = {}
-        self.calm_pace = self.earlier_pace
-        self.calm_load, self.saw_trial = 0.0, False
-        self.past = [(0.0, 0.0)] * (Trial.FIRST + len(self.workloads))  # earlier build: bad, all; fading
-        self.peer_rates: dict[int, tuple[float, float]] = {}  # one row a marshal
+        self.calm_pace, self.calm_load, self.saw_trial = self.earlier_pace, 0.0, False
+        # The earlier build's bad outcomes and all, fading, and its share in the last ten or so.
+        self.past = [(0.0, 0.0, 0.0)] * (Trial.FIRST + len(self.workloads))
+        self.reports: dict[int, tuple[Totals, float]] = {}  # at fusers: one row a marshal, its last totals
+        self.fleet: Fleet | None = None  # what all marshals together do, as a fuser told lately
+        self.fleet_at, self.fleet_from, self.beats, self.stuck = 0.0, self.me, self.me, set[int]()
         self.news: StageNews | None = None
         self.trial: Trial | None = None
         self.cast: tuple[Trial | None, Verdict] = (None, Verdict.NONE)
         self.leaning, self.leaning_since, self.fuser_heard = Verdict.NONE, now, now
-        self.cast_again, self.voted, self.serial = 0.0, 0.0, count(1)
-        self.acts += [FollowRoll()] if standing_orders.get("roll_mode") == "ask" else []
+        self.cast_again, self.voted, self.serial = now, now, count(1)
+
+    @property
+    def now(self) -> float:
+        return self.present_time
+
+    @now.setter
+    def now(self, now: float) -> None:
+        """A marshal that missed its beats stood still: what came meanwhile comes all at once and shows no
+        slow answers, no silence of nodes or fusers and no due fallback."""
+        if now > self.present_time + 3 * BEAT:
+            self.woke_at = self.fuser_heard = now
+        self.present_time = now
 
     def on_roll(self, entries: Sequence[RollEntry], whole: bool) -> None:
         """Rule 3: what drains, is gone or is missing from a whole list is never chosen from here on."""
-        named = {entry.node for entry in entries}
+        kept = {} if whole else dict(self.nodes)
         for entry in entries:
             node = self.nodes.get(entry.node)
-            if node and (node.entry.started, node.entry.build) == (entry.started, entry.build):
-                node.entry = entry
-            else:  # a new process, or another machine under the old id
-                self.nodes[entry.node] = Node(entry)
-        for index, node in list(self.nodes.items()):
-            if node.entry.condition is Condition.GONE or (whole and index not in named):
-                del self.nodes[index]
+            if not node or (node.entry.started, node.entry.build) != (entry.started, entry.build):
+                node = Node(entry)  # a new process, or another machine under the old id
+            kept[entry.node], node.entry = node, entry
+        self.nodes = {i: node for i, node in kept.items() if node.entry.condition is not Condition.GONE}
         self.ready = [n for n in self.nodes.values() if n.entry.condition is Condition.READY]
 
     def on_invocation(self, invocation: Invocation) -> None:
         self.taken.append((self.now, invocation.workload, invocation.customer, not invocation.repeated))
-        task = self.tasks[invocation.number] = Task(invocation, self.workloads[invocation.workload], self.now)
+        task = Task(invocation, self.workloads[invocation.workload], self.now)
+        self.tasks[invocation.number] = task
         task.story = self.serve(task)
         self.resume(task, None)
 
@@ -199,78 +169,74 @@
             may_send = self.may_send(task) and (bool(task.shots) or not self.too_much(task))
             node = self.choose(task) if may_send else None
             if node:
-                # A second copy only where the node has answered nothing since: dead, frozen or cut off.
-                once = task.repeats is Repeats.EXCLUSIVE or None in task.endings
-                ended = yield Shot(node.entry.node, None, None if once else 3 * self.longest)
-            elif None in task.endings:
-                ended = yield Wait()
+                yield Shot(node.entry.node)
             elif may_send and self.now < task.came + task.orders["target_time"]:
-                ended = yield Wait(0.1)  # none may take it now: the roll or a cold one's budget may mend it
+                yield Wait(0.1)  # none may take it now: the roll or a cold one's budget may mend it
             else:
-                back_in = 0.5 if self.orders["may_say_back_in"] else None
-                yield Rejected(back_in) if self.harmless(task) else BrokenOff()
+                # Rule 2: rejected only where running again does no harm.
+                repeats, to_all = task.orders["repeats"], task.orders["group"] == "all"
+                harmless = repeats is Repeats.RERUNNABLE or (to_all and repeats is Repeats.TICKETED)
+                rejected = Rejected(0.5 if self.orders["may_say_back_in"] else None)
+                yield rejected if harmless or not task.may_have_run() else BrokenOff()
                 return
-            while ended is None and None in task.endings and self.silence(task.shots[-1][0]) < 3:
-                ended = yield Wait(self.longest)
-
-    def harmless(self, task: Task) -> bool:  # Rule 2: may it be rejected?
-        to_all = task.repeats is Repeats.TICKETED and task.orders["group"] == "all"
-        return to_all or task.repeats is Repeats.RERUNNABLE or not task.may_have_run()
 
     def too_much(self, task: Task) -> bool:
         """Shed before queues tip, whatever fills them: by Little's law an answer takes shots out / answers a
-        second, and the shortest target time must hold. What pays least for its work goes first, before it
-        what a customer sends beyond its share. Harmful where answers come in bursts: so two a node go."""
-        customer = task.invocation.customer
-        while self.answers and self.answers[0] < self.now - 2.0:
-            self.answers.popleft()
-        out = sum(n.held for n in self.ready if self.silence(n) < 3)  # what a dead node holds is no load
-        if self.now < self.began + 2.0 or out < 2 * len(self.ready) / self.orders["marshals"]:
+        second, and the shortest target time must hold. What pays least for its work goes first. Harmful where
+        answers come in bursts: so two a node go."""
+        workload, fleet = task.invocation.workload, self.fleet
+        done = sum(w not in self.stuck for _, w, _ in self.answers) / 2.0
+        out, held = self.shots_out(), self.shots_out() * self.orders["marshals"]
+        if fleet:  # own answers against ten of the fleet's: where traffic is thin, those decide
+            if workload in self.stuck:  # a few go on, to see when it ends
+                return self.random() > 0.1
+            answers = max(0.5, sum(many for w, (many, _) in enumerate(fleet.done) if w not in self.stuck))
+            held = (done * held + 5 * fleet.out) / (done + 5)
+            out, done = out + 5 * fleet.out / answers, done + 5
+        if self.now < self.began + 2.0 or held < 2 * len(self.ready):
             return False
         by_work = float(self.orders.get("payoff_by") == "work")
-        pays = [w["payoff"] / (by_work or p[0] or 1) for w, p in zip(self.workloads, self.pace, strict=True)]
-        bound = 0.6 + 0.6 * pays[task.invocation.workload] / max(pays)
-        if self.orders["customers"]:
-            mine = sum(c == customer for _, _, c, _ in self.taken)
-            share = self.orders["customers"][customer]["share"]
-            if self.random() * mine > 1.2 * share / max(0.01, 1 - share) * (len(self.taken) - mine):
-                bound *= 0.7
-        return out > bound * min(w["target_time"] for w in self.workloads) * len(self.answers) / 2.0
-
-    def may_send(self, task: Task) -> bool:
-        """Rule 2, and the number of shots."""
-        ran, spent = task.may_have_run(), len(task.shots) >= self.orders["most_shots"]
-        alone = None not in task.endings or self.orders["second_copies"]
-        if spent or not alone or self.now >= task.deadline - 0.01:
+        pays = [o["payoff"] / (by_work or p[0] or 1) for o, p in zip(self.workloads, self.pace, strict=True)]
+        bound = 0.6 + 0.6 * pays[workload] / max(pays)
+        if self.orders["customers"]:  # first what a customer sends beyond its share
+            mine = sum(each == task.invocation.customer for _, _, each, _ in self.taken)
+            share = self.orders["customers"][task.invocation.customer]["share"]
+            over = self.random() * mine > 1.2 * share / max(0.01, 1 - share) * (len(self.taken) - mine)
+            bound *= 0.7 if over else 1.0
+        return out > bound * min(o["target_time"] for o in self.workloads) * done
+
+    def may_send(self, task: Task) -> bool:  # Rule 2, and the number of shots
+        ran = task.may_have_run()
+        if len(task.shots) >= self.orders["most_shots"] or self.now >= task.deadline() - 0.01:
             return False
-        if not ran or task.repeats is Repeats.RERUNNABLE:
+        if not ran or task.orders["repeats"] is Repeats.RERUNNABLE:
             return True
-        return task.repeats is Repeats.TICKETED and self.now < ran[0][1] + task.orders["window"] - 0.05
+        in_time = bool(ran) and self.now < ran[0][1] + task.orders["window"] - 0.05
+        return in_time and task.orders["repeats"] is Repeats.TICKETED
 
     def resume(self, task: Task, result: Ended | None) -> None:
-        number, wish = task.invocation.number, task.story.send(result)
+        number, wish = task.invocation.number, task.story.send(result) if task.story else Wait()
         if isinstance(wish, Rejected | BrokenOff):
             self.acts.append(Reject(number, wish.back_in) if isinstance(wish, Rejected) else BreakOff(number))
-            return self.close(task)
+            self.close(task)
+            return
         if isinstance(wish, Shot):
-            node, workload = self.nodes[wish.node], task.invocation.workload
+            node, w = self.nodes[wish.node], task.invocation.workload
             self.acts.append(Shoot(number, wish.node, wish.until))
-            self.out[number, len(task.shots)] = (node, node.entry.build, workload)
-            self.sent_to.setdefault(node.entry.build, deque()).append((self.now, workload))
-            task.shots.append((node, self.now))
-            task.endings.append(None)
+            self.out[number, len(task.shots)] = (node, node.entry.build, w)
+            self.sent_to.setdefault(node.entry.build, deque()).append((self.now, w))
+            task.shots, task.endings = [*task.shots, (node, self.now)], [*task.endings, None]
             node.silent_since = node.silent_since if node.held else self.now
             node.held, node.tokens = node.held + 1, node.tokens - 1
         task.wake = next(self.serial)
         if wish.patience is not None:
-            at = min(self.now + wish.patience, max(task.deadline - 0.01, self.now))
+            at = min(self.now + wish.patience, max(task.deadline() - 0.01, self.now))
             self.acts.append(Wake(at, f"{number} {task.wake}"))
-        return None
 
     def close(self, task: Task) -> None:  # it has its final answer: what is still out is no use
-        self.tasks.pop(task.invocation.number, None)
-        shots = [shot for shot, ending in enumerate(task.endings) if ending is None]
-        self.acts += [Withdraw(task.invocation.number, s) for s in shots if self.orders["may_withdraw"]]
+        number, _ = task.invocation.number, self.tasks.pop(task.invocation.number, None)
+        if self.orders["may_withdraw"]:
+            self.acts += [Withdraw(number, shot) for shot, end in enumerate(task.endings) if end is None]
 
     def on_wake(self, name: str) -> None:
         first, _, second = name.partition(" ")
@@ -278,11 +244,11 @@
             self.beat()
         elif name == "follow":
             self.acts.append(FollowRoll())
-        elif first == "probe":
-            if (node := self.nodes.get(int(second))) and node.aside:
-                self.acts.append(Probe(node.entry.node))
-        elif (task := self.tasks.get(int(first))) and task.wake == int(second):
-            self.resume(task, None)
+        elif first != "probe":
+            if (task := self.tasks.get(int(first))) and task.wake == int(second):
+                self.resume(task, None)
+        elif (node := self.nodes.get(int(second))) and node.aside:
+            self.acts.append(Probe(node.entry.node))
 
     def on_client_left(self, number: int) -> None:
         if task := self.tasks.get(number):
@@ -292,6 +258,14 @@
         task = self.tasks.get(number)
         if sent := self.out.pop((number, ended.shot), None):
             self.learn(*sent, ended)
+            # An error is its node's and build's fault where another shot of the invocation is satisfied: what
+            # fails anywhere, whatever it has in common, shows no sick node and no bad build. An exclusive one
+            # has no other shot and counts. Harmful where hardly any node can serve a workload.
+            blamed, doubts = [(*sent, ended)], task.doubts if task else []
+            if task and ended.ending is Ending.ERROR and task.orders["repeats"] is not Repeats.EXCLUSIVE:
+                task.doubts, blamed = doubts + blamed, []
+            for each in blamed + (doubts if ended.ending is Ending.SATISFIED else []):
+                self.charge(*each)
         if task:
             task.endings[ended.shot] = ended.ending
             key, newest = task.invocation.key, self.news.build if self.news else None
@@ -299,174 +273,202 @@
                 self.stayed[key] = sent[1]
             self.close(task) if ended.over else self.resume(task, ended)
 
-    def on_trial(self, build: int) -> bool:
-        """Rule 5: of the newest build told and not released, or later than any told."""
-        news = self.news
-        if news is None or news.build is None:  # no word yet: only the lowest build listed is surely not
+    def on_trial(self, build: int) -> bool:  # Rule 5: told last and not released, or later
+        if self.news is None or self.news.build is None:  # only the lowest build listed is surely not
             return any(node.entry.build < build for node in self.nodes.values())
-        return build > news.build or (build == news.build and news.phase is not Phase.RELEASED)
+        return build > self.news.build or (build == self.news.build and self.news.phase is not Phase.RELEASED)
 
-    def cap_allows(self, task: Task, build: int) -> bool:
-        """Rule 5: own sliding count of shots at a build on trial against its cap."""
-        orders, news, workload = self.orders, self.news, task.invocation.workload
+    def cap_allows(self, task: Task, build: int) -> bool:  # Rule 5: own sliding count against the cap
+        orders, news, w = self.orders, self.news, task.invocation.workload
         told = news if news is not None and news.build == build else None
         cap, stage = (told.cap, told.stage) if told else (orders["caps"][0], 0)
-        if not cap or (stage < orders.get("shielded_stages", 0) and task.repeats is not Repeats.RERUNNABLE):
+        shielded = stage < orders.get("shielded_stages", 0)
+        if not cap or (shielded and task.orders["repeats"] is not Repeats.RERUNNABLE):
             return False
-        each, after = orders["counted_by"] == "per_lane", self.now - orders["exposure_window"]
-        shots = sum(at >= after and (not each or w == workload) for at, w in self.sent_to.get(build, ()))
-        taken = sum(at > after and (not each or w == workload) for at, w, _, _ in self.taken)
+        all_count, after = orders["counted_by"] != "per_lane", self.now - orders["exposure_window"]
+        shots = sum(at >= after and (all_count or each == w) for at, each in self.sent_to.get(build, ()))
+        taken = sum(at > after and (all_count or each == w) for at, each, _, _ in self.taken)
         return shots + 1 <= orders["spare_shots"] + cap * taken
 
-    def present(self, node: Node) -> float:  # Rule 4: the least part of its capacity that it can have by now
-        start, age = self.orders["start_capacity"], self.age(node)
-        return start + (1 - start) * max(0.0, min(1.0, age / self.orders["warm_up"]))
-
     def age(self, node: Node) -> float:
         return self.now - node.entry.started if node.entry.started else 1e9
 
+    def present(self, node: Node) -> float:  # Rule 4: the least part of its capacity that it can have by now
+        start = self.orders["start_capacity"]
+        return start + (1 - start) * max(0.0, min(1.0, self.age(node) / self.orders["warm_up"]))
+
     def cold_allows(self, node: Node) -> bool:
-        """Rule 4: a budget. A fleet that copes gives a node its full capacity at most; half of fall_multiple
-        x the present part of that, out of this marshal's own traffic, stays under the limit."""
+        """Rule 4, summed over all marshals: half of fall_multiple x its present part of this one's satisfied
+        traffic a node, 0.4 of a window's worth at once; below a shot, chance says when the first is due."""
         if self.age(node) >= self.orders["warm_up"] + 1.0:
             return True
-        fair = self.rate() / max(1, len(self.ready))
-        grown = (self.now - node.tokens_at) * 0.5 * self.orders["fall_multiple"] * self.present(node) * fair
-        node.tokens = min(1.5, node.tokens + grown) if node.tokens_at else 1.0
-        node.tokens_at = self.now
+        fair = min(self.rate, 0.6 * len(self.answers)) / max(1, len(self.ready))
+        allowed = self.orders["fall_multiple"] * self.present(node) * fair  # shots a second
+        first = min(1.0, self.random() + 0.4 * allowed * self.orders["fall_window"])
+        node.tokens += 0.5 * allowed * (self.now - node.tokens_at) if node.tokens_at else first
+        node.tokens, node.tokens_at = min(1.5, node.tokens), self.now
         return node.tokens >= 1.0
 
-    def rate(self) -> float:  # first tries a second that this marshal takes, over 2 s
-        while self.taken and self.taken[0][0] < self.now - max(2.0, self.orders["exposure_window"]):
-            self.taken.popleft()
-        recent = sum(first and at >= self.now - 2.0 for at, _, _, first in self.taken)
-        return recent / min(2.0, max(1.0, self.now - self.began))
+    def shots_out(self) -> int:  # but what a dead node or a stuck workload holds is no load
+        return sum(w not in self.stuck and self.silence(n) < 3 for n, _, w in self.out.values())
 
-    def load(self) -> float:  # first tries a second for each node in use, of all marshals heard lately
-        peers = sum(r for r, at in self.peer_rates.values() if at > self.now - 3.0)
-        return (self.rate() + peers) / max(1, sum(not n.aside for n in self.ready))
+    def load(self) -> float:  # first tries a second for each node that answers, of all marshals
+        rate = self.fleet.rate if self.fleet else self.rate * self.orders["marshals"]
+        return rate / max(1, sum(not n.aside and self.silence(n) < 3 for n in self.ready))
 
     def silence(self, node: Node) -> float:  # for how many usual times shots have been out with no ending
-        return (self.now - node.silent_since) / self.longest if node.held else 0.0
+        return (self.now - max(node.silent_since, self.woke_at)) / self.longest if node.held else 0.0
 
-    def busy(self, node: Node) -> float:
-        """How long the next shot would take here, in usual times: own shots out x how slow it has been, more
-        when shots are out and nothing comes back (dead, frozen or cut off: the symptom is the same)."""
+    def busy(self, node: Node) -> float:  # shots out x how slow; more when nothing comes back: dead, cut off
         fade = exp((node.told_at - self.now) / 4)  # forgotten in some 4 s, so it is tried again
         shown = (1 + (node.slow - 1) * fade) * (1 + 8 * node.faults * fade)
         return (node.held + 1) * shown * (1 + max(0.0, self.silence(node) - 2))
 
     def least_busy(self, nodes: Sequence[Node]) -> Node | None:  # the design's pick: of two at random
-        fit = [n for n in ([n for n in nodes if not n.aside] or nodes) if self.cold_allows(n)]
-        return min(self.sample(fit, min(2, len(fit))), key=self.busy) if fit else None
+        nodes = [n for n in nodes if not n.aside] or nodes
+        two = [n for n in self.sample(nodes, min(2, len(nodes))) if self.cold_allows(n)]
+        if not two:  # look on until one may be sent to
+            two = list(islice(filter(self.cold_allows, self.sample(nodes, len(nodes))), 1))
+        return min(two, key=self.busy) if two else None
 
     def choose(self, task: Task) -> Node | None:
         key, ran, ready, group = task.invocation.key, task.may_have_run(), self.ready, task.orders["group"]
-        if ran and task.repeats is Repeats.TICKETED and group != "all":
-            first, zone = ran[0][0].entry, group == "zone"
-            ready = [n for n in ready if (n.entry.zone == first.zone if zone else n.entry.cell == first.cell)]
+        if ran and task.orders["repeats"] is Repeats.TICKETED and group != "all":
+            of = attrgetter("zone" if group == "zone" else "cell")
+            ready = [n for n in ready if of(n.entry) == of(ran[0][0].entry)]
         if key in self.stayed:
             ready = [n for n in ready if n.entry.build >= self.stayed[key]]
         tried = {id(node) for node, _ in task.shots}
-        ready = [n for n in ready if id(n) not in tried] or ([] if None in task.endings else ready)
+        ready = [n for n in ready if id(n) not in tried] or ready
         trials = {b: self.cap_allows(task, b) for b in {n.entry.build for n in ready} if self.on_trial(b)}
         old = self.least_busy([n for n in ready if n.entry.build not in trials])
         new = self.least_busy([n for n in ready if trials.get(n.entry.build)])
-        if not old or not new or (self.news and self.news.phase is Phase.GOING_BACK):
+        # What broke is tried at the earlier build next: it tells whose fault it was, and spares the client.
+        if not old or not new or task.doubts or (self.news and self.news.phase is Phase.GOING_BACK):
             return old or new
-        # A build on trial gets what its nodes can take, so that the times of both are like with like, and not
-        # by how slow or faulty they have been: a bad build must be seen to be bad.
+        # A build on trial gets what its nodes can take, that times be like with like, however slow or faulty.
         old_part = sum(self.present(n) for n in ready if n.entry.build not in trials and not n.aside)
         new_part = sum(self.present(n) for n in ready if trials.get(n.entry.build) and not n.aside)
         return new if self.random() * (new_part + old_part) < new_part else old
 
-    def learn(self, node: Node, build: int, w: int, ended: Ended) -> None:
-        """What one ending tells of its node, of the usual times and of the build on trial."""
-        node.held -= 1
-        node.silent_since = node.told_at = self.now
+    def learn(self, node: Node, build: int, w: int, ended: Ended) -> None:  # of its node and the usual times
         ending, took, ok = ended.ending, ended.took, ended.ending is Ending.SATISFIED
-        if ok or ending is Ending.ERROR:
-            self.answers.append(self.now)
-        if ok:
+        node.held, node.silent_since, node.told_at = node.held - 1, self.now, self.now
+        if ok and self.now - took >= self.woke_at:  # not out while this marshal stood still
+            self.answers.append((self.now, w, took))
             self.pace[w] = learned(self.pace[w], took, 0.05)
-            self.longest = max(self.pace)[0]
-        if ok or (ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took > self.pace[w][0] > 0):
+            self.longest = max(self.longest if self.fleet else 0.0, max(self.pace)[0])
+        given_up = ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took > self.pace[w][0]
+        if (ok or given_up) and self.now - took >= self.woke_at and self.pace[w][1]:
             node.slow += (took / self.pace[w][0] - node.slow) * 0.2
+
+    def charge(self, node: Node, build: int, w: int, ended: Ended) -> None:  # to its node and build
+        ending = ended.ending
         if ending not in (Ending.WITHDRAWN, Ending.TURNED_AWAY, Ending.NOT_SENT):
-            node.faults += ((not ok) - node.faults) * 0.25
+            node.faults += ((ending is not Ending.SATISFIED) - node.faults) * 0.25
             mates = [n for n in self.ready if n.entry.build == node.entry.build]
-            # A node that fails often is set aside and probed, half of a build's at most: when more fail, it
-            # is the build, the load or this marshal's own view, and routing around them would only hide it.
+            # A node that fails often is set aside and probed, half of a build's at most: more are the build,
+            # the load or this marshal's own view, and routing around them would hide it.
             if node.faults >= 0.4 and not node.aside and 2 * sum(n.aside for n in mates) + 2 <= len(mates):
-                node.aside, node.probes_answered = True, 0
+                # Back on probation after two answered probes; set aside again, for twice as long.
+                node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, 2 * node.hold))
                 self.acts.append(Wake(self.now + node.hold, f"probe {node.entry.node}"))
         if ending not in NEVER_RAN:
-            self.judge(node, build, w, ending, took)
+            self.judge(node, build, w, ending, ended.took)
 
     def on_probed(self, index: int, ending: Ending) -> None:
-        node = self.nodes.get(index)
-        if node is None or not node.aside:
-            return
-        node.probes_answered = node.probes_answered + 1 if ending is Ending.SATISFIED else 0
-        if node.probes_answered >= 2:  # back on probation: the next fault sets it aside for twice as long
-            node.aside, node.faults, node.hold = False, 0.3, min(8.0, node.hold * 2)
-        else:
-            self.acts.append(Wake(self.now + 0.5, f"probe {index}"))
+        if (node := self.nodes.get(index)) and node.aside:
+            node.probes_answered = node.probes_answered + 1 if ending is Ending.SATISFIED else 0
+            if node.probes_answered >= 2:
+                node.aside, node.faults = False, 0.3
+            else:
+                self.acts.append(Wake(self.now + 0.5, f"probe {index}"))
 
     def judge(self, node: Node, build: int, w: int, ending: Ending, took: float) -> None:
-        """One outcome's part in the LLRs: the earlier build's sets p0, the judged build's moves them."""
         broke, trial, key = ending in (Ending.ERROR, Ending.CUT), self.trial, (w, node.entry.kind)
-        (pace, known), (calm, _) = (p.get(key, (0.0, 0)) for p in (self.earlier_pace, self.calm_pace))
-        warm = self.age(node) >= self.orders["warm_up"] + 1  # a cold node is late whatever it runs
+        pace, known = self.earlier_pace.get(key, (0.0, 0))
         if self.age(node) < 1.0 or (ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took < 3 * pace):
             return  # just started, or given up too early to tell
         on_trial = self.news is not None and self.news.phase is Phase.ON_TRIAL
         earlier = trial is None or build < trial.build
-        # What was out when its node was last late belongs to the same queue or pause, and counts once.
-        timed = on_trial and warm and not broke and self.now - took >= node.late_at
-        if trial and calm and timed and trial.own[0][1] >= 5:
+        warm = self.age(node) >= self.orders["warm_up"] + 1  # a cold node is late whatever it runs
+        timed = on_trial and warm and not broke and w not in self.stuck and self.now - took >= self.woke_at
+        if trial and timed and trial.own[0][1] >= 5 and (calm := self.calm_pace.get(key)):
             # Late, with no more traffic than before this build came: it may slow all alike. The node in the
             # middle must show it, here and below: neighbours, pauses, queues at one do not count.
-            node.drag = learned(node.drag, took / calm, 0.15)
-            drags = [n.drag[0] for n in self.ready if n.drag[1] and not n.aside] or [1.0]
-            late = took > 2.5 * calm and median_high(drags) > 1.3 and self.load() < 1.35 * self.calm_load
+            node.drag = learned(node.drag, took / calm[0], 0.15)
+            middle = median_high([n.drag[0] for n in self.ready if n.drag[1] and not n.aside] or [1.0])
+            late = took > 2.5 * calm[0] and middle > 1.3 and self.load() < 1.35 * self.calm_load
             self.move(Trial.EVERYWHERE, node, late)
         if ending is Ending.SATISFIED and warm and (earlier or not on_trial):
             self.earlier_pace[key] = learned((pace, known), took, 0.02)
         if earlier or not (on_trial or self.saw_trial):
+            # What breaks here too, from this moment on, is no fault of the build on trial, unless at a sick
+            # node: a bad build must not hide behind those.
             for ratio, bad in ((0, broke), (Trial.LATE, took > 3 * pace > 0), (Trial.FIRST + w, broke)):
-                was, n = self.past[ratio]
-                self.past[ratio] = (was * 0.99 + bad, n * 0.99 + 1)
+                (was, n, fast), lately = self.past[ratio], bad and node.faults < 0.4
+                self.past[ratio] = was * 0.99 + bad, n * 0.99 + 1, fast + (lately - fast) * 0.1
         elif trial and build == trial.build:
             self.move(0, node, broke)
             self.move(Trial.FIRST + w, node, broke)
             if known >= 20 and timed:
-                others = [n.slow for n in self.ready if n.entry.build < build] or [1e9]  # none: no verdict
-                mates = [n.slow for n in self.ready if n.entry.build == build] or [1.0]
-                late = took > 3 * pace and median_high(mates) > 1.2 * median_high(others)
-                self.move(Trial.LATE, node, late)
+                others = median_high([n.slow for n in self.ready if n.entry.build < build] or [1e9])
+                mates = median_high([n.slow for n in self.ready if n.entry.build == build] or [1.0])
+                self.move(Trial.LATE, node, took > 3 * pace and mates > 1.2 * others)
         self.decide()
 
     def move(self, ratio: int, node: Node, bad: bool) -> None:
-        times, extra, unknown = Trial.ODDS.get(ratio, Trial.ODDS_OF_ONE_WORKLOAD)
-        was, n = self.past[Trial.LATE if ratio == Trial.EVERYWHERE else ratio]
-        p0 = min(0.2, max(0.01, was / n if n >= 20 else unknown))
-        p1 = min(0.9, times * p0 + extra)
+        times, extra, unknown = Trial.ODDS[min(ratio, Trial.FIRST)]
+        late = ratio in (Trial.LATE, Trial.EVERYWHERE)
+        was, known, fast = self.past[Trial.LATE if late else ratio]
+        p0 = min(0.2, max(0.01, was / known if known >= 20 else unknown))
+        p0 = p0 if late else max(p0, min(0.6, fast))
+        p1 = min(0.95, times * p0 + extra)
         step = log(p1 / p0) if bad else log((1 - p1) / (1 - p0))
-        node.late_at = self.now if bad else node.late_at
-        if self.trial and (word := self.trial.count(ratio, step, node.entry.mark, self.random())):
-            for peer in self.fusers:
-                self.tell(peer, word)
-
-    def tell(self, peer: int | None, word: Step | Totals) -> None:
-        if self.orders["may_tell"] and peer != self.me and self.orders["marshals"] > 1:
+        if ratio == Trial.EVERYWHERE and self.fleet:  # late together: a large fleet's are no more evidence
+            step *= min(1.0, 80 / max(1.0, self.fleet.rate))  # than a small one's
+        word = self.trial.count(ratio, step, node.entry.mark, self.random()) if self.trial else None
+        for peer in self.fusers:
+            self.tell(peer, word)
+
+    def tell(self, peer: int | None, word: Step | Totals | Fleet | None) -> None:
+        if word and self.orders["may_tell"] and peer != self.me and self.orders["marshals"] > 1:
             self.acts.append(Tell(peer, word))
 
-    def on_peer(self, peer: int, word: Step | Totals) -> None:
+    def tell_totals(self) -> None:
+        """The design's remainder, as whole sums, and what this marshal does; to all from the first fuser
+        what all do: a marshal with little traffic sees too little of load and times by itself."""
+        trial, here, times = self.trial, (0, 0), [[0.0, 0.0] for _ in self.workloads]
+        for _, w, took in self.answers:  # over two seconds
+            times[w] = [times[w][0] + 0.5, times[w][1] + took / 2]
+        sums = {r: s for r, s in enumerate(trial.own) if s[1]} if trial else {}
+        if trial:
+            here, trial.unsent = (trial.build, trial.stage), [(0.0, 0)] * len(trial.own)
+        totals = Totals(self.life, *here, self.rate, self.shots_out(), [(n, t) for n, t in times], sums)
+        for peer in self.fusers:
+            self.tell(peer, totals)
+        if self.me in self.fusers and (self.me <= self.fleet_from or self.fleet_at < self.now - 2.5):
+            rows = [row for row, at in self.reports.values() if at > self.now - 5.0]
+            self.hear_fleet(self.me, together([*rows, totals]))
+            self.tell(None, self.fleet)
+
+    def hear_fleet(self, peer: int, word: Fleet) -> None:
+        self.fleet, self.fleet_at, self.fleet_from = word, self.now, peer
+        paces = [time / answers if answers else 0.0 for answers, time in word.done]
+        self.longest = max([pace for pace, _ in self.pace] + paces) or 1.0
+        # Late by itself, another three times as quick: it waits for what no node mends, and shows no load.
+        known, least = zip(self.workloads, paces, strict=False), 3 * min(filter(None, paces), default=0.0)
+        self.stuck = {w for w, (orders, pace) in enumerate(known) if pace > max(orders["target_time"], least)}
+
+    def on_peer(self, peer: int, word: Step | Totals | Fleet) -> None:
+        if not 0 <= peer < self.orders["marshals"]:
+            return
         self.fuser_heard = self.now if peer in self.fusers else self.fuser_heard
-        if isinstance(word, Totals):
-            self.peer_rates[peer] = word.rate, self.now
-        if self.trial:
+        if isinstance(word, Fleet):
+            self.hear_fleet(peer, word)
+        elif isinstance(word, Totals):
+            self.reports[peer] = word, self.now
+        if self.trial and not isinstance(word, Fleet):
             self.trial.hear(peer, word)
             self.decide()
 
@@ -481,56 +483,48 @@
         self.stayed = self.stayed if judged and last and last.build == news.build else {}
         if last and (last.build, last.stage, last.phase) == (news.build, news.stage, news.phase):
             return
-        new_build = last is None or last.build != news.build
-        if new_build:
+        if last is None or last.build != news.build:
             self.calm_pace = {key: p for key, p in self.earlier_pace.items() if last and p[1] >= 20}
-            self.calm_load = self.load()
-        self.saw_trial = news.phase is Phase.ON_TRIAL or (self.saw_trial and not new_build)
-        for node in self.nodes.values():
-            node.drag = (1.0, 0) if new_build else node.drag
-        stage = news.stage + (news.phase is Phase.RELEASED)
-        self.trial = Trial(news.build, stage, len(self.past), self.life) if judged else None
-
-    def on_word(self, word: Word) -> None:
-        """Tallies are late and hold one's own shots too, complaints are few, some false: no evidence."""
-        if word is Plain.ROLL_FAILED:
-            self.acts.append(Wake(self.now + 1.0, "follow"))
+            self.calm_load, self.saw_trial = self.load(), False
+            for node in self.nodes.values():
+                node.drag = (1.0, 0)
+        self.saw_trial = self.saw_trial or news.phase is Phase.ON_TRIAL
+        self.trial = Trial(news, len(self.past), self.life) if judged else None
+
+    def on_word(self, word: Word) -> None:  # tallies are late, complaints few, some false: no evidence
+        self.acts += [Wake(self.now + 1.0, "follow")] if word is Plain.ROLL_FAILED else []
 
     def beat(self) -> None:  # what only time changes
         self.acts.append(Wake(self.now + BEAT, "beat"))
-        self.rate()
-        for build, shots in list(self.sent_to.items()):
-            while shots and shots[0][0] < self.now - self.orders["exposure_window"] - 0.1:
-                shots.popleft()
-            if not shots:
-                del self.sent_to[build]
-        if self.trial and int(self.now / BEAT) % 4 == 0:
-            totals = self.trial.totals(self.rate())
-            for peer in [None] if self.me in self.fusers else self.fusers:
-                self.tell(peer, totals)
+        for rows in (self.taken, *self.sent_to.values()):
+            forget(rows, self.now - max(2.0, self.orders["exposure_window"] + 0.1))
+        forget(self.answers, self.now - 2.0)
+        recent = sum(first and at >= self.now - 2.0 for at, _, _, first in self.taken)
+        self.rate = recent / min(2.0, max(1.0, self.now - self.began))
+        self.fleet = self.fleet if self.now < self.fleet_at + 5.0 else None
+        self.beats += 1
+        if self.beats % (4 * max(1, round(self.orders["marshals"] / 200))) == 0:
+            self.tell_totals()  # each second, the design's; less often where hundreds would speak
         self.decide()
 
     def decide(self) -> None:
-        """Vote where it can count. The first fuser votes at once, the others only if that had no effect; a
-        marshal that has heard no fuser for 4 s decides by what it knows itself."""
+        """Vote where it can count: the first fuser at once, the others only if that had no effect; a marshal
+        that has heard no fuser for 4 s by what it knows itself."""
         trial, news = self.trial, self.news
-        if trial is None or news is None:
-            return
-        rank = min(self.me, len(self.fusers))
-        if rank == len(self.fusers) and self.now - self.fuser_heard < 4.0:
+        rank, alone = min(self.me, len(self.fusers)), self.now - self.fuser_heard >= 4.0
+        waits = self.now < self.woke_at + BEAT or (rank == len(self.fusers) and not alone)
+        if not trial or not news or waits:
             return
-        nodes = sum(n.entry.build == trial.build for n in self.ready)
-        verdict = trial.verdict(self.now, news.phase is Phase.RELEASED, nodes)
+        verdict = trial.verdict(self.now, sum(n.entry.build == trial.build for n in self.ready))
         if verdict is not self.leaning:
             self.leaning, self.leaning_since = verdict, self.now
         standing = self.cast[1] if self.cast[0] is trial else Verdict.NONE
-        due = self.leaning_since + rank * (0.3 if verdict is Verdict.BACK else 0.7)
-        due = self.cast_again if verdict is standing else due
+        due = self.cast_again if verdict is standing else self.leaning_since + rank * 0.5
         due = due if verdict is Verdict.BACK else max(due, self.voted + 0.5)
         if self.now < due or (verdict is Verdict.NONE and standing is not Verdict.ON):
             return
         self.cast, self.voted = (trial, verdict), self.now
         self.cast_again = self.now + self.orders["vote_timeout"] + 0.2
         self.acts.append(Vote(trial.build, news.stage or 0, verdict))
-        sums = [round(x, 1) for x in trial.sums]
-        self.acts.append(Note(f"vote {verdict.name} build {trial.build} stage {news.stage} sums {sums}"))
+        what = f"vote {verdict.name} build {trial.build} stage {news.stage}"
+        self.acts.append(Note(f"{what} sums {[round(total, 1) for total in trial.sums]}"))
--- a/gatebank/interface.py
+++ b/gatebank/interface.py
@@ -39,6 +39,9 @@
     NOT_SENT = "not sent"
 
 
+NEVER_RAN = (Ending.TURNED_AWAY, Ending.NO_CONNECTION, Ending.NOT_SENT)  # a shot that ended so had no effect
+
+
 class Condition(Enum):
     """What the node roll says of a node."""
 
--- /dev/null
+++ b/gatebank/records.py
@@ -0,0 +1,64 @@
+"""What a marshal keeps of a node and of an invocation in hand, and two ways to count. Records only: what they
+start with is nothing known, and every decision on them is in brain.py."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Generator
+from dataclasses import dataclass, field
+from typing import Any
+
+from gatebank.interface import NEVER_RAN, Ended, Ending, Invocation, RollEntry, StandingOrders, Wish
+
+
+def learned(was: tuple[float, int], value: float, least: float) -> tuple[float, int]:
+    """A mean that forgets: the plain mean at first, then each new value weighs ``least``.
+
+    >>> learned(learned((0.0, 0), 4.0, 0.1), 2.0, 0.1)
+    (3.0, 2)
+    """
+    return was[0] + (value - was[0]) * max(least, 1 / (was[1] + 1)), was[1] + 1
+
+
+def forget(rows: deque[Any], before: float) -> None:
+    """Drop the rows, oldest first, whose first value lies before that time."""
+    while rows and rows[0][0] < before:
+        rows.popleft()
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """What this marshal knows of one node; dropped when the roll drops it."""
+
+    entry: RollEntry
+    held: int = 0  # own shots out
+    silent_since: float = 0.0  # since when none of them has ended
+    told_at: float = 0.0  # when one last ended
+    slow: float = 1.0  # its times over the usual ones
+    drag: tuple[float, int] = (1.0, 0)  # its times over those before this build came, and how many made it
+    faults: float = 0.0  # share of its recent shots that failed
+    aside: bool = False
+    hold: float = 0.0  # how long it was set aside last
+    probes_answered: int = 0
+    tokens: float = 0.0  # shots it may still be sent while cold
+    tokens_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """An invocation in hand; dropped with its final answer."""
+
+    invocation: Invocation
+    orders: StandingOrders  # those of its workload
+    came: float
+    shots: list[tuple[Node, float]] = field(default_factory=list)
+    endings: list[Ending | None] = field(default_factory=list)  # None while it is out
+    doubts: list[tuple[Node, int, int, Ended]] = field(default_factory=list)  # errors, perhaps its own fault
+    story: Generator[Wish, Ended | None, None] | None = None
+    wake: int = 0  # which wake it waits for
+
+    def deadline(self) -> float:
+        return self.came + self.invocation.left
+
+    def may_have_run(self) -> list[tuple[Node, float]]:
+        return [shot for shot, end in zip(self.shots, self.endings, strict=True) if end not in NEVER_RAN]
