--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -370,7 +370,6 @@
             # A node that fails often is set aside and probed, half of a build's at most: more are the build,
             # the load or this marshal's own view, and routing around them would hide it.
             if node.faults >= 0.4 and not node.aside and 2 * sum(n.aside for n in mates) + 2 <= len(mates):
-                # Back on probation after two answered probes; set aside again, for twice as long.
                 node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, 2 * node.hold))
                 self.acts.append(Wake(self.now + node.hold, f"probe {node.entry.node}"))
         if ending not in NEVER_RAN:
@@ -379,7 +378,7 @@
     def on_probed(self, index: int, ending: Ending) -> None:
         if (node := self.nodes.get(index)) and node.aside:
             node.probes_answered = node.probes_answered + 1 if ending is Ending.SATISFIED else 0
-            if node.probes_answered >= 2:
+            if node.probes_answered >= 2:  # back on probation; set aside again, for twice as long
                 node.aside, node.faults = False, 0.3
             else:
                 self.acts.append(Wake(self.now + 0.5, f"probe {index}"))
@@ -393,9 +392,10 @@
         earlier = trial is None or build < trial.build
         warm = self.age(node) >= self.orders["warm_up"] + 1  # a cold node is late whatever it runs
         timed = on_trial and warm and not broke and w not in self.stuck and self.now - took >= self.woke_at
-        if trial and timed and trial.own[0][1] >= 5 and (calm := self.calm_pace.get(key)):
-            # Late, with no more traffic than before this build came: it may slow all alike. The node in the
-            # middle must show it, here and below: neighbours, pauses, queues at one do not count.
+        met = trial is not None and trial.own[0][1] >= min(5, 25 / self.orders["marshals"])  # it gets traffic
+        if trial and timed and met and (calm := self.calm_pace.get(key)):
+            # Late, with no more traffic than before: it may slow all. The middle node must show it, here and
+            # below: neighbours, pauses, queues at one do not count.
             node.drag = learned(node.drag, took / calm[0], 0.15)
             middle = median_high([n.drag[0] for n in self.ready if n.drag[1] and not n.aside] or [1.0])
             late = took > 2.5 * calm[0] and middle > 1.3 and self.load() < 1.35 * self.calm_load
