--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -186,7 +186,7 @@
         answers come in bursts: so two a node go."""
         workload, fleet = task.invocation.workload, self.fleet
         done = sum(w not in self.stuck for _, w, _ in self.answers) / 2.0
-        out, held = self.shots_out(), self.shots_out() * self.orders["marshals"]
+        held = (out := self.shots_out()) * self.orders["marshals"]
         if fleet:  # own answers against ten of the fleet's: where traffic is thin, those decide
             if workload in self.stuck:  # a few go on, to see when it ends
                 return self.random() > 0.1
@@ -211,11 +211,11 @@
             return False
         if not ran or task.orders["repeats"] is Repeats.RERUNNABLE:
             return True
-        in_time = bool(ran) and self.now < ran[0][1] + task.orders["window"] - 0.05
-        return in_time and task.orders["repeats"] is Repeats.TICKETED
+        ticketed = task.orders["repeats"] is Repeats.TICKETED  # only these are sure to have a window
+        return ticketed and self.now < ran[0][1] + task.orders["window"] - 0.05
 
     def resume(self, task: Task, result: Ended | None) -> None:
-        number, wish = task.invocation.number, task.story.send(result) if task.story else Wait()
+        number, wish = task.invocation.number, task.story.send(result)
         if isinstance(wish, Rejected | BrokenOff):
             self.acts.append(Reject(number, wish.back_in) if isinstance(wish, Rejected) else BreakOff(number))
             self.close(task)
@@ -438,13 +438,13 @@
     def tell_totals(self) -> None:
         """The design's remainder, as whole sums, and what this marshal does; to all from the first fuser
         what all do: a marshal with little traffic sees too little of load and times by itself."""
-        trial, here, times = self.trial, (0, 0), [[0.0, 0.0] for _ in self.workloads]
+        trial, here, times = self.trial, (0, 0), [(0.0, 0.0)] * len(self.workloads)
         for _, w, took in self.answers:  # over two seconds
-            times[w] = [times[w][0] + 0.5, times[w][1] + took / 2]
+            times[w] = times[w][0] + 0.5, times[w][1] + took / 2
         sums = {r: s for r, s in enumerate(trial.own) if s[1]} if trial else {}
         if trial:
             here, trial.unsent = (trial.build, trial.stage), [(0.0, 0)] * len(trial.own)
-        totals = Totals(self.life, *here, self.rate, self.shots_out(), [(n, t) for n, t in times], sums)
+        totals = Totals(self.life, *here, self.rate, self.shots_out(), times, sums)
         for peer in self.fusers:
             self.tell(peer, totals)
         if self.me in self.fusers and (self.me <= self.fleet_from or self.fleet_at < self.now - 2.5):
--- a/gatebank/interface.py
+++ b/gatebank/interface.py
@@ -13,7 +13,7 @@
 from enum import Enum, IntEnum
 from typing import Any
 
-from gatebank.peers import Step, Totals
+from gatebank.peers import Fleet, Step, Totals
 
 StandingOrders = Mapping[str, Any]
 
@@ -239,7 +239,7 @@
     """Send a word to one peer, or to all (None)."""
 
     peer: int | None
-    word: Step | Totals
+    word: Step | Totals | Fleet
 
 
 @dataclass(slots=True, frozen=True)
--- a/gatebank/records.py
+++ b/gatebank/records.py
@@ -54,7 +54,7 @@
     shots: list[tuple[Node, float]] = field(default_factory=list)
     endings: list[Ending | None] = field(default_factory=list)  # None while it is out
     doubts: list[tuple[Node, int, int, Ended]] = field(default_factory=list)  # errors, perhaps its own fault
-    story: Generator[Wish, Ended | None, None] | None = None
+    story: Generator[Wish, Ended | None, None] = field(init=False)  # `serve`, set as it begins
     wake: int = 0  # which wake it waits for
 
     def deadline(self) -> float:
