--- a/gatebank/__init__.py
+++ b/gatebank/__init__.py
@@ -1,1 +1,3 @@
 """gatebank: tries out new builds on live traffic."""
+
+__version__ = "0.2.0"
--- a/gatebank/adapter/host.py
+++ b/gatebank/adapter/host.py
@@ -10,8 +10,8 @@
 
 from gatebank import interface as ours
 from gatebank import peers
-from gatebank.adapter.orders import standing_orders
 from gatebank.brain import Marshal
+from gatebank.orders import standing_orders
 
 ENDINGS = {
     "completed": ours.Ending.SATISFIED,
--- /dev/null
+++ b/gatebank/net/__init__.py
@@ -0,0 +1,1 @@
+"""The service: one marshal on sockets round the decision module. Parts and owners: docs/service.md."""
--- /dev/null
+++ b/gatebank/net/customers.py
@@ -0,0 +1,323 @@
+"""The server side: customers' connections, their commands and the order of their answers.
+
+Customers owns the listener and a row a connection; a Line owns its socket, buffer and tasks, and gives them
+back in `close`, the one place. What is asked goes to the exchange with a Slot, which takes the answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections import deque
+from collections.abc import Mapping, Sequence
+from hashlib import blake2b
+from typing import Any, Protocol
+
+from gatebank.net import resp
+from gatebank.net.launch import Address
+from gatebank.net.log import say
+
+IN_HAND = 64  # commands of a connection before it is read on
+OWED = (
+    48 * 1024 * 1024
+)  # bytes of answers that customers have not taken, of all together: a quarter of 192 MB
+STALL = 10.0  # s without taking a byte of an answer
+BACKLOG = 1024
+NOTICED = 0.45  # s after SIGTERM: until 0.4 s new connections go on coming (PROTOCOL)
+
+
+class Senseless(Exception):
+    """A command that can't be carried out; the text says why."""
+
+
+class Asked:
+    """An invocation as a customer wrote it, copied: it outlives the buffer, as it may need several shots."""
+
+    __slots__ = ("after", "before", "cost_guess", "customer", "key", "left", "repeated", "size", "workload")
+
+    def __init__(
+        self, words: Sequence[memoryview], workloads: Mapping[str, int], customers: Mapping[str, int]
+    ):
+        if len(words) < 4:
+            raise Senseless("a command needs a key, an id and names and values")
+        pairs = [each.partition("=") for each in bytes(words[3]).decode("utf-8", "replace").split(",")]
+        names = {name: value for name, _, value in reversed(pairs)}
+        if names.get("c") not in workloads:
+            raise Senseless("no such workload")
+        if customers and names.get("t") not in customers:
+            raise Senseless("no such customer")
+        self.workload, self.customer = workloads[names["c"]], customers.get(names.get("t", ""), 0)
+        self.left, guess = number(names.get("d"), "d"), names.get("h")
+        self.cost_guess = number(guess, "h") / 1000 if guess else None  # d is in ms, h in us
+        self.repeated = names.get("r") == "1"
+        subject = bytes(words[1])
+        self.key = int.from_bytes(blake2b(subject, digest_size=6).digest(), "big") if subject else None
+        before = b"".join(part for word in words[:3] for part in resp.bulk(word))
+        self.before = b"*%d\r\n%b" % (len(words), before)
+        at = next(i for i, (name, _, _) in enumerate(pairs) if name == "d")
+        told = ["".join(pair) for pair in pairs]
+        self.before, self.after = (
+            (self.before, ",".join([*told[:at], "d="]).encode()),
+            (
+                ",".join(["", *told[at + 1 :]]).encode(),
+                b"".join(part for word in words[4:] for part in resp.bulk(word)),
+            ),
+        )
+        self.size = sum(map(len, (*self.before, *self.after)))
+
+    def command(self, left: float) -> bytes:
+        """As it goes to a node that has ``left`` seconds for it."""
+        names = b"%b%d%b" % (self.before[1], max(1, int(left * 1000)), self.after[0])
+        return b"".join((self.before[0], *resp.bulk(names), self.after[1]))
+
+
+def number(text: str | None, what: str) -> float:
+    """Milliseconds, or the like, as the thousandth."""
+    try:
+        value = float(text or "") / 1000
+    except ValueError:
+        value = 0.0
+    if not 0 < value < 1e6:
+        raise Senseless(f"{what} is no time")
+    return value
+
+
+class Door(Protocol):
+    """What the exchange offers to customers."""
+
+    def invoked(self, asked: Asked, slot: Slot) -> None: ...
+    def customer_left(self, slot: Slot) -> None: ...
+
+
+class Slot:
+    """The place of one answer among those of its connection."""
+
+    __slots__ = ("held", "line", "parts")
+
+    def __init__(self, line: Line) -> None:
+        self.line, self.held = line, None  # held: the exchange's own
+        self.parts: Sequence[bytes | memoryview] | None = None
+
+    def satisfied(self, value: memoryview) -> None:
+        self.answer(resp.bulk(value))
+
+    def rejected(self, back_in: float | None) -> None:
+        self.answer([b"-BUSY %d\r\n" % (back_in * 1000) if back_in else b"-BUSY\r\n"])
+
+    def broken_off(self, why: str) -> None:
+        self.answer([f"-ERR {why}\r\n".encode()])
+
+    def answer(self, parts: Sequence[bytes | memoryview]) -> None:
+        first = bool(self.line.slots) and self.line.slots[0] is self
+        self.parts = parts if first else [bytes(part) for part in parts]  # it waits, and its buffer does not
+        if first:
+            self.line.flush()
+
+
+class Line:
+    """A customer's connection."""
+
+    def __init__(self, owner: Customers, sock: socket.socket) -> None:
+        self.owner, self.sock = owner, sock
+        self.slots: deque[Slot] = deque()  # in the order of the commands; emptied by answers, or by `close`
+        self.rest = b""  # of answers, not yet taken
+        self.ending = self.closed = False
+        self.free = asyncio.Event()
+        self.reader = asyncio.ensure_future(self.read())
+        self.writer: asyncio.Task[None] | None = None
+
+    @property
+    def idle(self) -> bool:
+        return not self.slots and not self.rest
+
+    async def read(self) -> None:
+        inbox = resp.Inbox()
+        try:
+            while not self.ending:
+                if len(self.slots) >= IN_HAND or self.rest:
+                    self.free.clear()
+                    await self.free.wait()
+                    continue
+                size = await self.owner.loop.sock_recv_into(self.sock, inbox.room())
+                if not size:
+                    break
+                inbox.filled(size)
+                for words in inbox.commands():
+                    self.take(words)
+        except resp.Broken as trouble:
+            say("customer_broken", logging.WARNING, why=trouble)
+            self.refuse(str(trouble))
+            self.ending = True
+        except OSError:
+            pass
+        finally:
+            if not self.ending or self.idle:
+                self.close()
+
+    def take(self, words: list[memoryview]) -> None:
+        name = bytes(words[0][:16]).upper()
+        slot = Slot(self)
+        self.slots.append(slot)
+        if name == b"PING":
+            slot.answer([b"+PONG\r\n"])
+        elif name in (b"Q.ASK", b"Q.DO"):
+            try:
+                asked = Asked(words, self.owner.workloads, self.owner.customers)
+            except Senseless as trouble:
+                slot.broken_off(str(trouble))
+            else:
+                self.owner.door.invoked(asked, slot)
+        else:
+            slot.broken_off("unknown command")
+
+    def refuse(self, why: str) -> None:
+        slot = Slot(self)
+        self.slots.append(slot)
+        slot.broken_off(why)
+
+    def flush(self) -> None:
+        """Send the answers whose turn it is."""
+        parts: list[bytes | memoryview] = []
+        while self.slots and self.slots[0].parts is not None:
+            parts += self.slots.popleft().parts or ()
+        if self.closed or not parts:
+            return
+        if self.rest:
+            self.hold(b"".join(parts))
+            return
+        size = sum(map(len, parts))
+        try:
+            sent = self.sock.sendmsg(parts if len(parts) < 64 else [b"".join(parts)])
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.reader.cancel()
+            return
+        if sent < size:
+            self.hold(b"".join(parts)[sent:])
+            self.writer = asyncio.ensure_future(self.write())
+        else:
+            self.free.set()
+            self.owner.settle(self)
+
+    def hold(self, data: bytes) -> None:
+        self.rest += data
+        self.owner.owed += len(data)
+        if self.owner.owed > OWED:
+            say("customer_cut", logging.WARNING, why="too many bytes owed", owed=self.owner.owed)
+            self.reader.cancel()
+
+    async def write(self) -> None:
+        try:
+            while self.rest:
+                part = self.rest[: 64 * 1024]
+                async with asyncio.timeout(STALL):
+                    await self.owner.loop.sock_sendall(self.sock, part)
+                self.rest = self.rest[len(part) :]
+                self.owner.owed -= len(part)
+        except (OSError, TimeoutError):
+            self.close()
+            return
+        self.free.set()
+        self.owner.settle(self)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        for task in (self.reader, self.writer):
+            if task and task is not asyncio.current_task():
+                task.cancel()
+        self.owner.lines.discard(self)
+        self.owner.owed -= len(self.rest)
+        self.sock.close()
+        while self.slots:
+            slot = self.slots.popleft()
+            if slot.parts is None:
+                self.owner.door.customer_left(slot)
+
+
+class Customers:
+    def __init__(self, orders: Mapping[str, Any], door: Door, most: int) -> None:
+        self.loop, self.door, self.most = asyncio.get_running_loop(), door, most
+        self.workloads = {each["name"]: i for i, each in enumerate(orders["workloads"])}
+        self.customers = {each.get("name", str(i)): i for i, each in enumerate(orders["customers"])}
+        self.lines: set[Line] = set()  # a row a connection; each goes with `Line.close`
+        self.owed, self.peak, self.leaving = 0, 0, False
+        self.listener: socket.socket | None = None
+        self.empty = asyncio.Event()
+
+    def listen(self, where: Address) -> None:
+        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+        self.listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(where)
+        self.listener.listen(BACKLOG)
+
+    async def accept(self) -> None:
+        while self.listener:
+            if len(self.lines) >= self.most and not self.spare():
+                await asyncio.sleep(0.01)  # they wait in the backlog until one is idle
+                continue
+            try:
+                sock, _ = await self.loop.sock_accept(self.listener)
+            except OSError as trouble:
+                say("accept_failed", logging.WARNING, why=trouble)
+                await asyncio.sleep(0.05)
+                continue
+            self.welcome(sock)
+
+    def welcome(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.lines.add(Line(self, sock))
+        self.peak = max(self.peak, len(self.lines))
+
+    def spare(self) -> bool:
+        """Close an idle connection to make room; false if there is none."""
+        line = next((line for line in self.lines if line.idle and unread(line.sock) == 0), None)
+        if line:
+            line.close()
+        return line is not None
+
+    def settle(self, line: Line) -> None:
+        """An answer is out: a line that is to end, ends when it is idle."""
+        if line.idle and (line.ending or (self.leaving and unread(line.sock) == 0)):
+            line.close()
+        if self.leaving and not self.lines:
+            self.empty.set()
+
+    async def leave(self) -> None:
+        """SIGTERM: serve on until nobody sends anew, then close each connection as it becomes idle."""
+        await asyncio.sleep(NOTICED)
+        if listener := self.listener:
+            self.listener = None
+            try:
+                while True:  # what the machine has accepted, the marshal has taken
+                    self.welcome(listener.accept()[0])
+            except OSError:
+                pass
+            listener.close()
+        self.leaving = True
+        while self.lines:
+            for line in list(self.lines):
+                self.settle(line)
+            await asyncio.sleep(0.02)
+
+    def close(self) -> None:
+        if self.listener:
+            self.listener.close()
+        self.listener = None
+        for line in list(self.lines):
+            line.close()
+
+
+def unread(sock: socket.socket) -> int:
+    """1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
+    try:
+        return 1 if sock.recv(1, socket.MSG_PEEK) else -1
+    except BlockingIOError:
+        return 0
+    except OSError:
+        return -1
--- /dev/null
+++ b/gatebank/net/desk.py
@@ -0,0 +1,196 @@
+"""The release desk: its news, from a stream that stays open, and this marshal's votes.
+
+Owns the stream's connection and one connection a vote, which is closed with its answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextlib import aclosing
+from dataclasses import replace
+from typing import Any
+from urllib.parse import parse_qsl
+from xml.etree.ElementTree import ParseError
+
+from defusedxml import DefusedXmlException
+from defusedxml.ElementTree import fromstring
+
+from gatebank.interface import Complaint, Heard, Phase, StageNews, Verdict, Vote
+from gatebank.net.http import Caller, Unanswered
+from gatebank.net.launch import Address
+from gatebank.net.log import say
+from gatebank.net.roll import Register
+
+CALLS, STREAM = "/v2/projects/main/", "/v2/projects/main/stream"
+SILENCE = 3.0  # s without the sign of life that comes every second
+PAUSE = 0.5  # s before the stream is asked for again
+VOTES = 8  # in hand at once; the desk holds 32 connections of a marshal
+MOST_EVENT = 16 * 1024  # bytes of one event; what is longer is none of the desk's
+PHASES = {"IN_PROGRESS": 0, "ROLLING_BACK": 1, "COMPLETE": 2, "ROLLED_BACK": 3}
+REFUSALS = {"too_many_calls": Heard.TOO_MANY, "out_of_date": Heard.MOOT}
+VERDICTS = {Verdict.NONE: "none", Verdict.ON: "on", Verdict.HOLD: "hold", Verdict.BACK: "back"}
+
+
+def state(fields: dict[str, Any]) -> StageNews:
+    """
+    >>> state({"image": "42", "ring": "1", "progress": "COMPLETE", "ceiling": "1", "lag_ms": "310"}).phase
+    <Phase.RELEASED: 2>
+    """
+    try:
+        return StageNews(
+            Heard.COUNTED,
+            False,
+            int(fields["image"]),
+            int(fields["ring"]),
+            Phase(PHASES[fields["progress"]]),
+            float(fields["ceiling"]),
+            max(0.0, float(fields.get("lag_ms", 0)) / 1000),
+        )
+    except (KeyError, TypeError, ValueError) as trouble:
+        raise ValueError(f"a state can't be read: {type(trouble).__name__} {trouble}") from trouble
+
+
+def answer(status: int, body: bytes) -> StageNews:
+    """What the desk's answer to a vote says.
+
+    >>> answer(400, b"<Error><Code>out_of_date</Code></Error>").heard
+    <Heard.MOOT: 'moot'>
+    >>> answer(200, b"<!DOCTYPE a [<!ENTITY b 'c'>]><Response>&b;</Response>").heard
+    <Heard.NO_ANSWER: 'no answer'>
+    """
+    try:
+        tree = fromstring(body, forbid_dtd=True)
+        if status == 200:
+            states = [state({field.tag: field.text for field in item}) for item in tree.iter("item")]
+            return replace(max(states, key=lambda each: each.build or 0), answers_vote=True)
+        code = tree.findtext(".//Code") or tree.text if tree.tag != "Code" else tree.text
+    except (ParseError, DefusedXmlException, ValueError) as trouble:
+        say("desk_unread", logging.WARNING, why=trouble)
+        return StageNews(Heard.NO_ANSWER, True)
+    if code not in REFUSALS:
+        say("vote_refused", logging.WARNING, status=status, code=code)
+    return StageNews(REFUSALS.get(code or "", Heard.FAILED), True)
+
+
+class Events:
+    """The lines of an event stream, put together.
+
+    >>> events = Events()
+    >>> parts = (b":\\nevent: DIS", b"PUTE\\ndata: host=a&", b"type=b\\n", b"\\n")
+    >>> [event for part in parts for event in events.feed(part)]
+    [('DISPUTE', 'host=a&type=b')]
+    """
+
+    def __init__(self) -> None:
+        self.rest, self.name, self.data = b"", "", list[str]()
+
+    def feed(self, part: bytes) -> list[tuple[str, str]]:
+        *lines, self.rest = (self.rest + part).split(b"\n")
+        if len(self.rest) + sum(map(len, self.data)) > MOST_EVENT:
+            raise ValueError("an event is too long")
+        found = []
+        for each in lines:
+            field, _, value = each.decode("utf-8", "replace").rstrip("\r").partition(":")
+            value = value.removeprefix(" ")
+            if field == "event":
+                self.name = value
+            elif field == "data":
+                self.data.append(value)
+            elif self.data and each.strip() == b"":  # an empty line ends an event
+                found.append((self.name, "\n".join(self.data)))
+                self.name, self.data = "", []
+        return found
+
+
+class Desk:
+    def __init__(
+        self,
+        where: Address | None,
+        register: Register,
+        patience: float,
+        clock: Callable[[], float],
+        told: Callable[[StageNews], None],
+        complained: Callable[[Complaint], None],
+        workloads: dict[str, int],
+    ) -> None:
+        self.where, self.register, self.patience, self.clock = where, register, patience, clock
+        self.told, self.complained, self.workloads = told, complained, workloads
+        self.latest: tuple[StageNews, float] | None = None  # the newest state and when it began
+        self.votes: set[asyncio.Task[None]] = set()  # a row a vote in hand; each goes with its answer
+
+    def take(self, news: StageNews) -> None:
+        """Stream and votes come by two connections: what is older than what was told is not news."""
+        if news.heard is Heard.COUNTED:
+            began = self.clock() - news.age
+            last, last_began = self.latest or (news, began)
+            older = (news.build or 0) < (last.build or 0) or (news.build == last.build and began < last_began)
+            same = (news.build, news.stage, news.phase) == (last.build, last.stage, last.phase)
+            if older and not same:
+                say("desk_overtaken", build=news.build, stage=news.stage)
+                news = replace(last, answers_vote=news.answers_vote, age=self.clock() - last_began)
+            else:
+                if not self.latest or not same:
+                    phase = news.phase.name.lower() if news.phase is not None else ""
+                    say("stage", build=news.build, stage=news.stage, phase=phase, cap=news.cap, age=news.age)
+                self.latest = news, began
+        self.told(news)
+
+    def vote(self, vote: Vote) -> None:
+        if not self.where or len(self.votes) >= VOTES:
+            asyncio.get_running_loop().call_soon(self.take, StageNews(Heard.FAILED, True))
+            return
+        task = asyncio.ensure_future(self.cast(self.where, vote))
+        self.votes.add(task)
+        task.add_done_callback(self.votes.discard)
+
+    async def cast(self, where: Address, vote: Vote) -> None:
+        form = f"Action=PutApproval&image={vote.build}&ring={vote.stage}&opinion={VERDICTS[vote.verdict]}"
+        caller = Caller(where)
+        try:
+            news = answer(*await caller.call("POST", CALLS, self.patience, form))
+        except Unanswered as trouble:
+            say("vote_lost", logging.WARNING, why=trouble, arrived=trouble.arrived)
+            news = StageNews(Heard.NO_ANSWER if trouble.arrived else Heard.FAILED, True)
+        finally:
+            caller.close()
+        say("vote_answer", build=vote.build, verdict=vote.verdict.name.lower(), heard=news.heard.value)
+        self.take(news)
+
+    async def follow(self) -> None:
+        """The stream, for ever: begun again when it ends, breaks or falls silent."""
+        assert self.where
+        lost = False
+        while True:
+            events = Events()
+            try:
+                async with aclosing(Caller(self.where).stream(STREAM, SILENCE)) as stream:
+                    async for part in stream:
+                        for name, data in events.feed(part):
+                            if lost:
+                                say("desk_back")
+                            lost = False
+                            self.event(name, data)
+            except (Unanswered, ValueError) as trouble:
+                if not lost:
+                    say("desk_lost", logging.WARNING, why=trouble)
+                lost = True
+            await asyncio.sleep(PAUSE)
+
+    def event(self, name: str, data: str) -> None:
+        fields = dict(parse_qsl(data))
+        try:
+            if name == "ROLLOUT":
+                self.take(state(fields))
+            elif name == "DISPUTE":
+                node, workload = self.register.index[fields["host"]], self.workloads[fields["type"]]
+                self.complained(Complaint(node, workload, float(fields.get("lag_ms", 0)) / 1000))
+            else:
+                say("desk_unknown", logging.WARNING, name=name)
+        except (KeyError, ValueError) as trouble:
+            say("desk_unread", logging.WARNING, why=trouble)
+
+    def close(self) -> None:
+        for task in list(self.votes):
+            task.cancel()
--- /dev/null
+++ b/gatebank/net/exchange.py
@@ -0,0 +1,316 @@
+"""Where alone customers and nodes meet: owns the Marshal and what is in hand.
+
+Every event goes through `turn`: the marshal's clock is set, its method called and its acts carried out, in
+order, before the next. What an act brings about at once (a shot that can't be sent) waits for its turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from gatebank import peers
+from gatebank.brain import Marshal
+from gatebank.interface import (
+    BreakOff,
+    Complaint,
+    Condition,
+    Ended,
+    Ending,
+    FollowRoll,
+    Invocation,
+    Note,
+    Phase,
+    Plain,
+    Probe,
+    Reject,
+    RollEntry,
+    Shoot,
+    StageNews,
+    Tell,
+    Vote,
+    Wake,
+    Withdraw,
+)  # fmt: skip
+from gatebank.net.customers import Asked, Slot
+from gatebank.net.desk import Desk
+from gatebank.net.log import LOG, say
+from gatebank.net.nodes import Nodes, Shot
+from gatebank.net.roll import Register
+from gatebank.net.words import Words
+
+HELD_BYTES = 48 * 1024 * 1024  # of customers' commands in hand: a quarter of 192 MB
+ROW = 2048  # bytes an invocation in hand takes besides, about
+
+
+class Clock:
+    """Unix time that never runs backwards: the wall clock's at the start, then the steady one's."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return self.offset + time.monotonic()
+
+
+class Held:
+    """An invocation in hand; its row goes when it is answered and no shot of it is out."""
+
+    __slots__ = ("answered", "asked", "deadline", "number", "out", "shots", "slot", "timer")
+
+    def __init__(self, number: int, asked: Asked, slot: Slot, deadline: float) -> None:
+        self.number, self.asked, self.slot, self.deadline = number, asked, slot, deadline
+        self.shots: list[Shot | None] = []
+        self.out, self.answered = 0, False
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Exchange:
+    def __init__(self, orders: dict[str, Any], seed: int, clock: Clock, register: Register) -> None:
+        self.orders, self.clock, self.register = orders, clock, register
+        self.loop = asyncio.get_running_loop()
+        self.marshal = Marshal(orders, seed, clock())
+        self.nodes: Nodes  # these three are set before the first event
+        self.desk: Desk
+        self.words: Words | None = None
+        self.events: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # emptied by `turn`
+        self.turning = False
+        self.held: dict[int, Held] = {}
+        self.free: list[int] = []  # numbers used before and free again
+        self.held_bytes = 0
+        self.entries: dict[int, RollEntry] = {}  # the roll as told last
+        self.news: StageNews | None = None
+        # As many as there are endings and answers.
+        self.counts: dict[str, int] = {}
+        self.patience = min((o.get("target_time", 1.0) for o in orders["workloads"]), default=1.0)
+
+    # Events in, one at a time.
+
+    def turn(self, event: Callable[..., None], *words: Any) -> None:
+        self.events.append((event, words))
+        if self.turning:
+            return
+        self.turning = True
+        try:
+            while self.events:
+                event, words = self.events.popleft()
+                self.marshal.now = self.clock()
+                try:
+                    event(*words)
+                except Exception:
+                    LOG.exception("fault", extra={"keys": {"in": getattr(event, "__name__", event)}})
+                    self.rescue(words)
+                acts, self.marshal.acts = self.marshal.acts, []
+                for act in acts:
+                    try:
+                        self.carry_out(act)
+                    except Exception:
+                        LOG.exception("fault", extra={"keys": {"act": type(act).__name__}})
+        finally:
+            self.turning = False
+
+    def rescue(self, words: tuple[Any, ...]) -> None:
+        """The marshal failed in an event: no invocation is left without its final answer."""
+        number = (
+            words[0].number if words and isinstance(words[0], Invocation) else words[0] if words else None
+        )
+        held = self.held.get(number) if isinstance(number, int) else None
+        if held and not held.answered:
+            held.slot.broken_off("broken off")
+            self.settle(held)
+            for shot in held.shots:
+                if shot:
+                    shot.give_up(Ending.WITHDRAWN)
+
+    def start(self, known: tuple[list[RollEntry], bool] | None, news: StageNews | None) -> None:
+        """What a marshal begins with: the roll as it last had it, then the release desk's news."""
+        if known:
+            self.rolled(known[0], True)
+        if news:
+            self.desk.take(news)
+
+    def invoked(self, asked: Asked, slot: Slot) -> None:
+        if self.held_bytes + asked.size + ROW > HELD_BYTES:
+            self.count("overfull")
+            slot.rejected(None)
+            return
+        number = self.free.pop() if self.free else len(self.held)
+        held = Held(number, asked, slot, self.clock() + asked.left)
+        self.held[number] = slot.held = held
+        self.held_bytes += asked.size + ROW
+        held.timer = self.loop.call_later(asked.left, self.time_is_up, held)
+        fields = (asked.workload, asked.customer, asked.left, asked.cost_guess, asked.key, asked.repeated)
+        self.turn(self.marshal.on_invocation, Invocation(number, *fields))
+
+    def customer_left(self, slot: Slot) -> None:
+        held = slot.held
+        if held and not held.answered:
+            self.count("left")
+            self.answered(held)
+            self.turn(self.marshal.on_client_left, held.number)
+            self.turn(self.settle, held)
+
+    def time_is_up(self, held: Held) -> None:
+        """The customer's time limit: what is out ends, and the final answer is still owed."""
+        for shot in held.shots:
+            if shot:
+                shot.give_up(Ending.TIMED_OUT)
+        if not held.answered:
+            say("unanswered", logging.ERROR, workload=held.asked.workload)
+            held.slot.broken_off("broken off")
+            self.answered(held)
+            self.turn(self.marshal.on_client_left, held.number)
+            self.turn(self.settle, held)
+
+    def shot_ended(
+        self,
+        held: Held,
+        number: int,
+        node: int,
+        sent: float,
+        ending: Ending,
+        value: memoryview | None,
+        report: Sequence[float] | None,
+    ) -> None:
+        took = self.clock() - sent
+        held.out -= 1
+        held.shots[number] = None
+        self.count(ending.value)
+        if ending is Ending.SATISFIED and value is not None and not held.answered:
+            held.slot.satisfied(value)
+            self.answered(held)
+        elif ending not in (Ending.SATISFIED, Ending.WITHDRAWN):
+            keys = {"node": self.register.names[node], "workload": held.asked.workload, "took": took}
+            say("shot", logging.DEBUG, ending=ending.value, **keys)
+        self.turn(self.tell_ended, held, Ended(number, ending, took, False, report))
+
+    def tell_ended(self, held: Held, ended: Ended) -> None:
+        over = Ended(ended.shot, ended.ending, ended.took, held.answered, ended.report)
+        try:
+            self.marshal.on_ended(held.number, over)
+        finally:
+            self.settle(held)
+
+    def rolled(self, entries: list[RollEntry], whole: bool) -> None:
+        kept = {} if whole else dict(self.entries)
+        for entry in entries:
+            kept[entry.node] = entry
+        self.entries = {i: entry for i, entry in kept.items() if entry.condition is not Condition.GONE}
+        self.turn(self.marshal.on_roll, entries, whole)
+        self.nodes.keep({(i, self.register.addresses[i]) for i in self.entries})
+
+    def told(self, news: StageNews) -> None:
+        if news.heard is not None and news.build is not None:
+            self.news = news
+        self.turn(self.marshal.on_stage_news, news)
+
+    def roll_failed(self) -> None:
+        self.turn(self.marshal.on_word, Plain.ROLL_FAILED)
+
+    def complained(self, complaint: Complaint) -> None:
+        self.turn(self.marshal.on_word, complaint)
+
+    def heard(self, peer: int, word: peers.Step | peers.Totals | peers.Fleet) -> None:
+        self.turn(self.marshal.on_peer, peer, word)
+
+    def probed(self, node: int, ending: Ending) -> None:
+        self.turn(self.marshal.on_probed, node, ending)
+
+    # Acts out.
+
+    def carry_out(self, act: Any) -> None:
+        match act:
+            case Shoot(number, node, until):
+                self.shoot(self.held[number], node, until)
+            case Wake(at, name):
+                self.loop.call_later(max(0.0, at - self.clock()), self.turn, self.marshal.on_wake, name)
+            case Withdraw(number, shot):
+                held = self.held.get(number)
+                if held and held.shots[shot]:
+                    held.shots[shot].give_up(Ending.WITHDRAWN)
+            case Reject(number, back_in):
+                self.finish(number, lambda slot: slot.rejected(back_in), "rejected")
+            case BreakOff(number):
+                self.finish(number, lambda slot: slot.broken_off("broken off"), "broken_off")
+            case Tell(peer, word):
+                if self.words:
+                    self.words.tell(peer, word)
+            case Vote():
+                say("vote", build=act.build, stage=act.stage, verdict=act.verdict.name.lower())
+                self.desk.vote(act)
+            case Probe(node):
+                self.probe(node)
+            case Note(text):
+                say("note", text=text)
+            case FollowRoll():
+                pass  # the roll is followed from the start
+
+    def finish(self, number: int, answer: Callable[[Slot], None], how: str) -> None:
+        held = self.held.get(number)
+        if held and not held.answered:
+            self.count(how)
+            self.answered(held)
+            answer(held.slot)
+            self.settle(held)
+
+    def answered(self, held: Held) -> None:
+        held.answered = True
+        if held.timer:
+            held.timer.cancel()
+
+    def settle(self, held: Held) -> None:
+        if held.answered and not held.out and self.held.get(held.number) is held:
+            del self.held[held.number]
+            self.free.append(held.number)
+            self.held_bytes -= held.asked.size + ROW
+            held.slot.held = None
+
+    def cap(self, build: int) -> float:
+        news = self.news
+        return news.cap or 0.0 if news and news.build == build and news.phase is not Phase.RELEASED else 1.0
+
+    def shoot(self, held: Held, node: int, until: float | None) -> None:
+        now, number = self.clock(), len(held.shots)
+        held.shots.append(None)
+        held.out += 1
+        entry = self.entries.get(node)
+        end = min(held.deadline, until or held.deadline)
+        most = self.orders.get("most_shots", 1)
+        if held.answered or now >= end or number >= most or entry is None:
+            self.shot_ended(held, number, node, now, Ending.NOT_SENT, None, None)
+            return
+        cap = self.cap(entry.build)
+
+        def tries() -> bytes | None:
+            """Its bytes, unless it waited for a connection while what it was chosen on fell away."""
+            listed, late = self.entries.get(node), self.clock()
+            fits = listed is entry or (listed and listed.build == entry.build)
+            ready = fits and listed.condition is Condition.READY and self.cap(entry.build) >= cap
+            return held.asked.command(end - late) if ready and not held.answered and late < end else None
+
+        def ended(ending: Ending, value: memoryview | None, report: Sequence[float] | None) -> None:
+            self.shot_ended(held, number, node, now, ending, value, report)
+
+        name, where = self.register.names[node], self.register.addresses[node]
+        shot = self.nodes.shoot(node, name, where, tries, ended)
+        if not shot.done:
+            held.shots[number] = shot
+            if end < held.deadline:
+                self.loop.call_later(end - now, shot.give_up, Ending.TIMED_OUT)
+
+    def probe(self, node: int) -> None:
+        def ended(ending: Ending, *_: Any) -> None:
+            self.probed(node, ending)
+
+        if node not in self.entries or not self.orders.get("may_probe", False):
+            self.probed(node, Ending.NO_CONNECTION)
+            return
+        name, where = self.register.names[node], self.register.addresses[node]
+        self.nodes.probe(node, name, where, self.patience, ended)
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
--- /dev/null
+++ b/gatebank/net/http.py
@@ -0,0 +1,123 @@
+"""HTTP/1.1 as a caller, parsed by httptools: one call on a connection, or an answer that stays open.
+
+A Caller owns its socket and buffer; `close` gives both back, and every failure calls it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import httptools
+
+from gatebank.net.launch import Address
+
+MOST_BODY = 8 * 1024 * 1024  # a roll of some ten thousand nodes
+ROOM = 16 * 1024
+
+
+class Unanswered(Exception):
+    """The call came to nothing; ``arrived`` tells whether it may have been carried out."""
+
+    def __init__(self, why: str, arrived: bool) -> None:
+        super().__init__(why)
+        self.arrived = arrived
+
+
+class Caller:
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.loop = asyncio.get_running_loop()
+        self.sock: socket.socket | None = None
+        self.room = bytearray(ROOM)
+        self.parser = httptools.HttpResponseParser(self)
+        self.body: list[bytes] = []
+        self.done, self.keeps = False, True
+
+    def on_body(self, part: bytes) -> None:
+        self.body.append(part)
+
+    def on_message_complete(self) -> None:
+        self.done, self.keeps = True, self.parser.should_keep_alive()
+
+    def close(self) -> None:
+        if self.sock:
+            self.sock.close()
+        self.sock = None
+
+    async def open(self) -> socket.socket:
+        if not self.sock:
+            family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
+            self.sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self.loop.sock_connect(self.sock, self.address)
+        return self.sock
+
+    async def ask(self, method: str, target: str, form: str | None) -> None:
+        """Send one request; Unanswered without ``arrived`` if its last byte was not written."""
+        host = f"{self.address[0]}:{self.address[1]}"
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", "Accept: */*"]
+        if form is not None:
+            lines += ["Content-Type: application/x-www-form-urlencoded", f"Content-Length: {len(form)}"]
+        request = ("\r\n".join(lines) + "\r\n\r\n" + (form or "")).encode()
+        self.parser, self.body, self.done = httptools.HttpResponseParser(self), [], False
+        try:
+            sock = await self.open()
+            await self.loop.sock_sendall(sock, request)
+        except OSError as trouble:
+            self.close()
+            raise Unanswered(str(trouble), False) from trouble
+
+    async def read(self) -> None:
+        """One read into the parser."""
+        assert self.sock
+        try:
+            size = await self.loop.sock_recv_into(self.sock, self.room)
+            if not size:
+                raise Unanswered("the connection ended", True)
+            self.parser.feed_data(memoryview(self.room)[:size])
+        except OSError as trouble:
+            raise Unanswered(str(trouble), True) from trouble
+        except httptools.HttpParserError as trouble:
+            raise Unanswered(f"no HTTP: {trouble}", True) from trouble
+        if sum(map(len, self.body)) > MOST_BODY:
+            raise Unanswered("the answer is too long", True)
+
+    async def call(
+        self, method: str, target: str, limit: float, form: str | None = None
+    ) -> tuple[int, bytes]:
+        """One call and its answer within ``limit`` seconds; the connection is kept if both sides want it."""
+        arrived = False
+        try:
+            async with asyncio.timeout(limit):
+                await self.ask(method, target, form)
+                arrived = True
+                while not self.done:
+                    await self.read()
+        except TimeoutError:
+            self.close()
+            raise Unanswered("no answer in time", arrived) from None
+        except BaseException:
+            self.close()
+            raise
+        if not self.keeps:
+            self.close()
+        return self.parser.get_status_code(), b"".join(self.body)
+
+    async def stream(self, target: str, silence: float) -> AsyncIterator[bytes]:
+        """An answer that stays open, as it comes; Unanswered after ``silence`` seconds with nothing."""
+        try:
+            async with asyncio.timeout(silence) as limit:
+                await self.ask("GET", target, None)
+                while not self.done:
+                    await self.read()
+                    parts, self.body = self.body, []
+                    limit.reschedule(self.loop.time() + silence)
+                    for part in parts:
+                        yield part
+            raise Unanswered("the stream ended", True)
+        except TimeoutError:
+            raise Unanswered("nothing came, not even a sign of life", True) from None
+        finally:
+            self.close()
--- /dev/null
+++ b/gatebank/net/launch.py
@@ -0,0 +1,120 @@
+"""What a marshal is told at its start: the ROUTER_ variables and the configuration file, read and checked."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from gatebank.orders import standing_orders
+
+Address = tuple[str, int]
+
+
+class Unfit(Exception):
+    """The marshal can't start so; the text says what is wrong."""
+
+
+@dataclass(slots=True, frozen=True)
+class Posting:
+    """Where a marshal stands and what it starts with."""
+
+    name: str
+    listen: Address
+    roll: Address | None
+    desk: Address | None
+    desk_news: Mapping[str, Any] | None
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    seed: int
+    descriptors: int
+    known: Mapping[str, Any] | None
+    standing_orders: Mapping[str, Any]
+
+
+def address(text: Any, what: str) -> Address:
+    """
+    >>> address("127.0.0.4:6379", "listen"), address("[::1]:7", "listen")
+    (('127.0.0.4', 6379), ('::1', 7))
+    >>> address("somewhere:70000", "listen")
+    Traceback (most recent call last):
+    gatebank.net.launch.Unfit: listen: 'somewhere:70000' is no IP address and port
+    """
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    host = host[1:-1] if host[:1] == "[" and host[-1:] == "]" else host
+    if re.fullmatch(r"[0-9.]+|[0-9a-fA-F:.]*:[0-9a-fA-F:.]*", host) and port.isdigit() and int(port) < 65536:
+        return host, int(port)
+    raise Unfit(f"{what}: {text!r} is no IP address and port")
+
+
+def optional(value: Any, what: str) -> Address | None:
+    return None if value in (None, "") else address(value, what)
+
+
+def posting(environment: Mapping[str, str]) -> Posting:
+    """From the variables, of which ROUTER_CONFIG names the file that holds the rest."""
+    path = environment.get("ROUTER_CONFIG")
+    if not path:
+        raise Unfit("ROUTER_CONFIG is not set; it names the configuration file")
+    try:
+        given = orjson.loads(Path(path).read_bytes())
+    except OSError as trouble:
+        raise Unfit(f"{path}: {trouble.strerror}") from trouble
+    except orjson.JSONDecodeError as trouble:
+        raise Unfit(f"{path}: no JSON: {trouble}") from trouble
+    if not isinstance(given, dict):
+        raise Unfit(f"{path}: not a JSON object")
+    told = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"}
+    given = {key: environment[name] for key, name in told.items() if environment.get(name)} | given
+    try:
+        return found(given)
+    except Unfit as trouble:
+        raise Unfit(f"{path}: {trouble}") from trouble
+    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        what = f"{trouble} is missing" if isinstance(trouble, KeyError) else str(trouble)
+        raise Unfit(f"{path}: {what}") from trouble
+
+
+def found(given: Mapping[str, Any]) -> Posting:
+    settings, limits = given.get("settings"), given.get("limits") or {}
+    if not isinstance(settings, dict):
+        raise Unfit("settings: missing or not an object")
+    for key, least in (("me", 0), ("balancers", 1)):
+        if not isinstance(settings.get(key), int) or settings[key] < least:
+            raise Unfit(f"settings: {key} is no number of at least {least}")
+    try:
+        orders = standing_orders(settings)
+    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        raise Unfit(f"settings: {type(trouble).__name__} {trouble}") from trouble
+    if not orders["workloads"] or not all("name" in each for each in orders["workloads"]):
+        raise Unfit("settings: a workload has no name, or there is none")
+    desk, known = given.get("platform") or {}, given.get("known")
+    peers = given.get("peers") or []
+    if not isinstance(desk, dict) or not isinstance(peers, list) or not isinstance(limits, dict):
+        raise Unfit("platform, peers or limits has the wrong form")
+    try:
+        seed = int(str(given.get("seed", 0)), 16)
+    except ValueError:
+        raise Unfit(f"seed: {given['seed']!r} is no hexadecimal number") from None
+    descriptors = limits.get("sockets", 1024)
+    if not isinstance(descriptors, int) or descriptors < 32:
+        raise Unfit("limits: sockets is no number of at least 32")
+    return Posting(
+        name=str(given.get("name", "marshal")),
+        listen=address(given.get("listen"), "listen"),
+        roll=optional(given.get("discovery"), "discovery"),
+        desk=optional(desk.get("address"), "platform.address"),
+        desk_news=desk.get("news"),
+        peer_listen=optional(given.get("peer_listen"), "peer_listen"),
+        peers=tuple(address(each, "peers") for each in peers),
+        peers_all=optional(given.get("peers_all"), "peers_all"),
+        seed=seed,
+        descriptors=descriptors,
+        known=known if isinstance(known, dict) else None,
+        standing_orders=orders,
+    )
--- /dev/null
+++ b/gatebank/net/nodes.py
@@ -0,0 +1,327 @@
+"""The client side: connections to nodes, the shots on them, and probes.
+
+Nodes owns a House for each node at its address; a House its lines; a Line its socket, buffer and tasks,
+given back in `Line.close`, the one place. One shot is out on a line at a time; behind another one is written
+only when descriptors are short, up to the number that the settings allow. Nothing is ever sent again here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from gatebank.interface import Ending
+from gatebank.net import resp
+from gatebank.net.launch import Address
+from gatebank.net.log import say
+
+PING = resp.command([b"PING"])
+Ended = Callable[[Ending, memoryview | None, Sequence[float] | None], None]
+
+
+class Shot:
+    """One shot or probe; ``ended`` is called once, with how it ended and what came."""
+
+    __slots__ = ("done", "ended", "house", "line", "probe", "tries", "written")
+
+    def __init__(self, house: House, tries: Callable[[], bytes | None], ended: Ended, probe: bool) -> None:
+        self.house, self.tries, self.ended, self.probe = house, tries, ended, probe
+        self.line: Line | None = None
+        self.done = self.written = False  # written: to its last byte
+
+    def finish(
+        self, ending: Ending, value: memoryview | None = None, report: Sequence[float] | None = None
+    ) -> None:
+        if not self.done:
+            self.done = True
+            self.ended(ending, value, report)
+
+    def give_up(self, ending: Ending) -> None:
+        """Withdrawn or out of time: its connection is closed, that it is not out twice."""
+        if not self.done:
+            if self.line:
+                self.line.forsake(self)
+            self.finish(ending)
+
+
+class Line:
+    """A connection to a node."""
+
+    def __init__(self, house: House, sock: socket.socket) -> None:
+        self.house, self.sock = house, sock
+        self.shots: deque[Shot] = deque()  # in the order written; emptied by answers, or by `close`
+        self.idle_since = time.monotonic()
+        self.closed = False
+        self.writer: asyncio.Task[None] | None = None
+        self.reader = asyncio.ensure_future(self.read())
+
+    def write(self, shot: Shot) -> None:
+        data = shot.tries()
+        if data is None:  # no longer wanted
+            shot.finish(Ending.NOT_SENT)
+            if not self.shots:
+                self.house.park(self)
+            return
+        self.shots.append(shot)
+        shot.line = self
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        shot.written = sent == len(data)
+        if not shot.written:
+            self.writer = asyncio.ensure_future(self.write_on(shot, data[sent:]))
+
+    async def write_on(self, shot: Shot, rest: bytes) -> None:
+        loop = self.house.owner.loop
+        try:
+            if len(rest) > 1:
+                await loop.sock_sendall(self.sock, rest[:-1])
+            await loop.sock_sendall(self.sock, rest[-1:])  # by itself: it decides whether the shot is out
+            shot.written = True
+            self.writer = None
+        except OSError:
+            self.close()
+
+    async def read(self) -> None:
+        inbox, owner = resp.Inbox(), self.house.owner
+        try:
+            while size := await owner.loop.sock_recv_into(self.sock, inbox.room()):
+                inbox.filled(size)
+                for reply in inbox.replies():
+                    if not self.shots or not self.shots[0].written:
+                        raise resp.Broken("it answered what was not asked")
+                    shot = self.shots[0]
+                    told = pong(reply) if shot.probe else owner.understood(reply)
+                    self.shots.popleft()
+                    if not self.shots:
+                        self.house.park(self)
+                    shot.finish(*told)
+        except resp.Broken as trouble:
+            say("node_broken", logging.WARNING, node=self.house.name, why=trouble)
+        except OSError:
+            pass
+        finally:
+            self.close()
+
+    def forsake(self, shot: Shot) -> None:
+        if all(each.done or each is shot for each in self.shots):
+            shot.done, ended = True, shot.done
+            self.close()
+            shot.done = ended
+        # else others are out on it: what comes for this one is passed over
+
+    def close(self) -> None:
+        """Give everything back; what was out is cut, or was never sent whole."""
+        if self.closed:
+            return
+        self.closed = True
+        for task in (self.reader, self.writer):
+            if task and task is not asyncio.current_task():
+                task.cancel()
+        self.house.drop(self)
+        self.sock.close()
+        while self.shots:
+            shot = self.shots.popleft()
+            shot.finish(Ending.CUT if shot.written else Ending.NO_CONNECTION)
+
+
+def pong(reply: resp.Reply) -> tuple[Ending, None, None]:
+    return (Ending.SATISFIED if reply.mark == "+" else Ending.ERROR), None, None
+
+
+class House:
+    """A node at an address."""
+
+    def __init__(self, owner: Nodes, key: tuple[int, Address], name: str) -> None:
+        self.owner, self.key, self.name = owner, key, name
+        self.lines: set[Line] = set()
+        self.idle: list[Line] = []  # the last used is used first, so that the others grow old and go
+        self.waiting: deque[Shot] = deque()  # for a connection; each has one on its way
+        self.left = False  # it is off the roll: no line is kept
+
+    def drop(self, line: Line) -> None:
+        self.lines.discard(line)
+        if line in self.idle:
+            self.idle.remove(line)
+        self.owner.open -= 1
+        self.owner.sweep_house(self)
+
+    def park(self, line: Line) -> None:
+        """A line has nothing out: to the first that waits, or idle."""
+        while self.waiting and not line.closed:
+            shot = self.waiting.popleft()
+            if not shot.done:
+                line.write(shot)
+                return
+        if self.left:
+            line.close()
+        elif not line.closed and line not in self.idle:
+            line.idle_since = time.monotonic()
+            self.idle.append(line)
+
+    def take_idle(self) -> Line | None:
+        """The last used, unless the node has ended it or is about to."""
+        while self.idle:
+            line = self.idle.pop()
+            if time.monotonic() - line.idle_since < self.owner.retire_after and still(line.sock):
+                return line
+            line.close()
+        return None
+
+
+def still(sock: socket.socket) -> bool:
+    """Open, and nothing unasked has come: what has not been read yet shows here."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
+class Nodes:
+    def __init__(self, orders: Mapping[str, Any], most: int) -> None:
+        self.loop, self.most = asyncio.get_running_loop(), most
+        self.houses: dict[tuple[int, Address], House] = {}  # emptied as nodes leave the roll
+        self.open = self.peak = 0
+        self.opening: set[asyncio.Task[None]] = set()  # each goes when its connection is up or not
+        self.connect_timeout = orders.get("connect_timeout", 1.0)
+        self.streams = orders.get("shots_per_connection", 1)
+        # Half of the time after which a node closes them at the latest: it may be earlier.
+        self.retire_after = orders.get("connection_idle", 10.0) / 2
+        self.fields = [REPORTED.get(name, name) for name in orders.get("report_fields", ())]
+
+    def shoot(
+        self,
+        node: int,
+        name: str,
+        where: Address,
+        tries: Callable[[], bytes | None],
+        ended: Ended,
+        probe: bool = False,
+    ) -> Shot:
+        """Begin a shot: ``tries`` gives its bytes when it can be written, None if it is not wanted then."""
+        house = self.houses.setdefault((node, where), House(self, (node, where), name))
+        shot = Shot(house, tries, ended, probe)
+        if line := house.take_idle():
+            line.write(shot)
+        elif self.open < self.most or self.spare():
+            house.waiting.append(shot)
+            self.open += 1
+            self.peak = max(self.peak, self.open)
+            task = asyncio.ensure_future(self.connect(house, shot))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+        else:
+            lines = [line for line in house.lines if not line.writer and len(line.shots) < self.streams]
+            if lines:
+                min(lines, key=lambda line: len(line.shots)).write(shot)
+            else:
+                say("no_descriptor", logging.WARNING, open=self.open)
+                shot.finish(Ending.NOT_SENT)
+        return shot
+
+    def probe(self, node: int, name: str, where: Address, patience: float, ended: Ended) -> None:
+        shot = self.shoot(node, name, where, lambda: PING, ended, probe=True)
+        self.loop.call_later(patience, shot.give_up, Ending.TIMED_OUT)
+
+    async def connect(self, house: House, shot: Shot) -> None:
+        where = house.key[1]
+        sock = None
+        try:
+            family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self.connect_timeout):
+                await self.loop.sock_connect(sock, where)
+        except (OSError, TimeoutError):
+            self.open -= 1
+            if sock:
+                sock.close()
+            if shot in house.waiting:
+                house.waiting.remove(shot)
+                shot.finish(Ending.NO_CONNECTION)
+            self.sweep_house(house)
+        except BaseException:
+            self.open -= 1
+            if sock:
+                sock.close()
+            raise
+        else:
+            line = Line(house, sock)
+            house.lines.add(line)
+            house.park(line)
+
+    def understood(self, reply: resp.Reply) -> tuple[Ending, memoryview | None, Sequence[float] | None]:
+        """What a node's answer means; Broken if it can't be read."""
+        words = reply.words
+        if reply.mark == "*" and words and words[0] is not None:
+            return Ending.SATISFIED, words[0], self.report(words[2] if len(words) > 2 else None)
+        if reply.mark == "-" and words[0] is not None:
+            text = bytes(words[0])
+            if text.split(b" ")[0] == b"BUSY":
+                return Ending.TURNED_AWAY, None, None
+            if text.split(b" ")[0] != b"ERR":
+                say("node_refuses", logging.WARNING, text=text[:80].decode("utf-8", "replace"))
+            return Ending.ERROR, None, self.report(text.rpartition(b" ")[2])
+        raise resp.Broken("no answer to a shot looks so")
+
+    def report(self, text: bytes | memoryview | None) -> Sequence[float] | None:
+        """A load report in the order of the settings; a broken one is none."""
+        if not text or not self.fields:
+            return None
+        try:
+            found = dict(each.split("=", 1) for each in bytes(text).decode().split(","))
+            return [float(found[name]) for name in self.fields]
+        except (ValueError, KeyError):
+            return None
+
+    def spare(self) -> bool:
+        """Close the longest idle line to make room; false if there is none."""
+        idle = [house.idle[0] for house in self.houses.values() if house.idle]
+        if idle:
+            min(idle, key=lambda line: line.idle_since).close()
+        return bool(idle)
+
+    def keep(self, listed: set[tuple[int, Address]]) -> None:
+        """The roll changed: who is not listed keeps no idle line."""
+        for key, house in list(self.houses.items()):
+            house.left = key not in listed
+            while house.left and house.idle:
+                house.idle[-1].close()
+            self.sweep_house(house)
+
+    def sweep_house(self, house: House) -> None:
+        if house.left and not house.lines and not house.waiting:
+            self.houses.pop(house.key, None)
+
+    def sweep(self) -> None:
+        """Now and then: lines idle for too long go, before the node ends them."""
+        before = time.monotonic() - self.retire_after
+        for house in list(self.houses.values()):
+            while house.idle and house.idle[0].idle_since < before:
+                house.idle[0].close()
+
+    def close(self) -> None:
+        for task in self.opening:
+            task.cancel()
+        for house in list(self.houses.values()):
+            for line in list(house.lines):
+                line.close()
+
+
+# The settings name a report's fields as the simulator does; a node names them so.
+REPORTED = {
+    "concurrent": "inflight", "depth": "queue", "load_share": "util",
+    "mean_ms": "latency_ms", "tps": "qps", "err_ps": "eps",
+}  # fmt: skip
--- /dev/null
+++ b/gatebank/net/resp.py
@@ -0,0 +1,164 @@
+"""RESP2 without I/O: a buffer that is read into, and the messages found in it as slices.
+
+A slice is good until the buffer is next read into; who needs it longer copies it.
+
+>>> inbox = Inbox(64)
+>>> inbox.put(b"*2\\r\\n$4\\r\\nPING\\r\\n$1\\r\\nx\\r\\n*1\\r\\n$4\\r\\nPI")
+>>> [[bytes(word) for word in command] for command in inbox.commands()]
+[[b'PING', b'x']]
+>>> inbox.put(b"NG\\r\\n")
+>>> [[bytes(word) for word in command] for command in inbox.commands()]
+[[b'PING']]
+>>> inbox.put(b"*3\\r\\n$2\\r\\nok\\r\\n$-1\\r\\n$6\\r\\nutil=1\\r\\n-BUSY\\r\\n$")
+>>> [(r.mark, [w and bytes(w) for w in r.words]) for r in inbox.replies()]
+[('*', [b'ok', None, b'util=1']), ('-', [b'BUSY'])]
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+MOST_VALUE = 64 * 1024  # bytes a value may hold: PROTOCOL
+MOST_WORDS = 16  # in one message; the protocol's longest has five
+MOST_LINE = 4096  # an error line, or a length
+FIRST_ROOM, LEAST_ROOM = 4096, 1024  # most messages fit the first; a read wants the second
+
+
+class Broken(Exception):
+    """What came is not RESP2, or larger than allowed; the text says what."""
+
+
+@dataclass(slots=True)
+class Reply:
+    """One answer: its first byte, and its words (None: a null)."""
+
+    mark: str
+    words: list[memoryview | None]
+
+
+class Inbox:
+    """One connection's buffer. It grows to what one message may need and shrinks again when empty."""
+
+    def __init__(self, most: int = 4 * MOST_VALUE) -> None:
+        self.most, self.data = most, bytearray(FIRST_ROOM)
+        self.start, self.end = 0, 0
+
+    def room(self) -> memoryview:
+        """Where the next read goes; ends the life of all slices given out."""
+        held = self.end - self.start
+        if not held and len(self.data) > FIRST_ROOM:
+            self.data = bytearray(FIRST_ROOM)
+        elif self.start:
+            self.data[:held] = self.data[self.start : self.end]
+        self.start, self.end = 0, held
+        if len(self.data) - held < LEAST_ROOM:
+            if held >= self.most:
+                raise Broken("a message is too long")
+            self.data = self.data[:held] + bytearray(held + LEAST_ROOM)
+        return memoryview(self.data)[held:]
+
+    def filled(self, size: int) -> None:
+        self.end += size
+
+    def put(self, data: bytes) -> None:
+        """As if read: for whoever has the bytes already."""
+        while data:
+            room = self.room()
+            size = min(len(room), len(data))
+            room[:size] = data[:size]
+            self.filled(size)
+            data = data[size:]
+
+    def line(self, at: int) -> tuple[int, int] | None:
+        """Where the line from ``at`` ends, and where the next begins."""
+        found = self.data.find(b"\r\n", at, self.end)
+        if found < 0:
+            if self.end - at > MOST_LINE:
+                raise Broken("a line is too long")
+            return None
+        return found, found + 2
+
+    def size(self, at: int, least: int, most: int) -> tuple[int, int] | None:
+        """The number in the line behind ``at``, and where the next line begins."""
+        if not (line := self.line(at + 1)):
+            return None
+        text = bytes(self.data[at + 1 : line[0]])
+        digits = text[1:] if text[:1] == b"-" else text
+        if not digits.isdigit() or len(digits) > 9 or not least <= int(text) <= most:
+            raise Broken("a length is senseless")
+        return int(text), line[1]
+
+    def bulk(self, at: int, least: int) -> tuple[memoryview | None, int] | None:
+        if at >= self.end:
+            return None
+        if self.data[at] != 0x24:  # $
+            raise Broken("no bulk string where one belongs")
+        if not (found := self.size(at, least, MOST_VALUE)):
+            return None
+        size, begin = found
+        if size < 0:
+            return None, begin
+        if begin + size + 2 > self.end:
+            return None
+        if self.data[begin + size : begin + size + 2] != b"\r\n":
+            raise Broken("a bulk string does not end where it says")
+        return memoryview(self.data)[begin : begin + size], begin + size + 2
+
+    def array(self, least: int) -> tuple[list[memoryview | None], int] | None:
+        if not (found := self.size(self.start, 0, MOST_WORDS)):
+            return None
+        count, at = found
+        words: list[memoryview | None] = []
+        for _ in range(count):
+            if not (bulk := self.bulk(at, least)):
+                return None
+            words.append(bulk[0])
+            at = bulk[1]
+        return words, at
+
+    def commands(self) -> Iterator[list[memoryview]]:
+        """The whole commands read so far: arrays of bulk strings. Empty lines and arrays are passed over."""
+        while self.start < self.end:
+            if self.data[self.start] in b"\r\n":
+                self.start += 1
+                continue
+            if self.data[self.start] != 0x2A:  # *
+                raise Broken("a command is an array of bulk strings")
+            if not (found := self.array(0)):
+                return
+            words, self.start = found
+            if words:
+                yield words  # type: ignore[misc]  # no nulls: the least length is 0
+
+    def replies(self) -> Iterator[Reply]:
+        while self.start < self.end:
+            mark = chr(self.data[self.start])
+            if mark == "*":
+                if not (found := self.array(-1)):
+                    return
+                words, self.start = found
+            elif mark == "$":
+                if not (bulk := self.bulk(self.start, -1)):
+                    return
+                words, self.start = [bulk[0]], bulk[1]
+            elif mark in "+-:":
+                if not (line := self.line(self.start + 1)):
+                    return
+                words = [memoryview(self.data)[self.start + 1 : line[0]]]
+                self.start = line[1]
+            else:
+                raise Broken("an answer begins with no known mark")
+            yield Reply(mark, words)
+
+
+def command(words: Sequence[bytes | memoryview]) -> bytes:
+    """
+    >>> command([b"PING"])
+    b'*1\\r\\n$4\\r\\nPING\\r\\n'
+    """
+    return b"".join([b"*%d\r\n" % len(words), *(part for word in words for part in bulk(word))])
+
+
+def bulk(value: bytes | memoryview) -> tuple[bytes, bytes | memoryview, bytes]:
+    return b"$%d\r\n" % len(value), value, b"\r\n"
--- /dev/null
+++ b/gatebank/net/service.py
@@ -0,0 +1,130 @@
+"""Start, SIGTERM and end of one marshal: makes the parts, keeps them running, and gives all back."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import resource
+import signal
+from collections.abc import Awaitable, Callable
+
+import uvloop
+
+from gatebank.net.customers import Customers
+from gatebank.net.desk import Desk, state
+from gatebank.net.exchange import Clock, Exchange
+from gatebank.net.launch import Posting, Unfit
+from gatebank.net.log import LOG, say
+from gatebank.net.nodes import Nodes
+from gatebank.net.roll import Register, follow
+from gatebank.net.words import Words
+
+ALSO = 24  # descriptors for the loop, listener, discovery, desk, datagrams, log and those in between
+EVERY = 1.0  # s between sweeps
+SAID = 10  # sweeps between lines on how things stand
+
+
+async def kept(what: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Work that must not end: what raises is logged, and it is begun again."""
+    while True:
+        try:
+            await work()
+            return
+        except Exception:
+            LOG.exception("fault", extra={"keys": {"in": what}})
+            await asyncio.sleep(0.2)
+
+
+async def tend(exchange: Exchange, nodes: Nodes, customers: Customers) -> None:
+    turns = 0
+    while True:
+        await asyncio.sleep(EVERY)
+        nodes.sweep()
+        turns += 1
+        if turns % SAID == 0:
+            stand(exchange, nodes, customers)
+
+
+def stand(exchange: Exchange, nodes: Nodes, customers: Customers) -> None:
+    memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+    counts = {name.replace(" ", "_"): number for name, number in sorted(exchange.counts.items())}
+    say(
+        "standing",
+        in_hand=len(exchange.held),
+        customers=len(customers.lines),
+        customers_peak=customers.peak,
+        node_connections=nodes.open,
+        node_connections_peak=nodes.peak,
+        memory_mb=memory,
+        **counts,
+    )
+
+
+async def marshal(posting: Posting) -> None:
+    loop = asyncio.get_running_loop()
+    orders, clock = dict(posting.standing_orders), Clock()
+    register = Register(orders)
+    exchange = Exchange(orders, posting.seed, clock, register)
+    room = posting.descriptors - ALSO
+    nodes = exchange.nodes = Nodes(orders, room // 2)
+    customers = Customers(orders, exchange, room - room // 2)
+    exchange.desk = desk = Desk(
+        posting.desk, register, orders.get("vote_timeout", 2.0), clock, exchange.told, exchange.complained,
+        customers.workloads,
+    )  # fmt: skip
+    leaving = asyncio.Event()
+    tasks: list[asyncio.Future[None]] = []
+    try:
+        try:
+            if posting.peer_listen and orders.get("may_tell"):
+                peers = (posting.peer_listen, posting.peers, posting.peers_all, orders["me"])
+                exchange.words = Words(*peers, exchange.heard)
+            known = version = news = None
+            if posting.known:
+                entries, _, version = register.entries(posting.known)
+                known = entries, True
+            if posting.desk_news:
+                news = state(dict(posting.desk_news))
+        except ValueError as trouble:
+            raise Unfit(str(trouble)) from trouble
+        except OSError as trouble:
+            raise Unfit(f"{posting.peer_listen}: {trouble.strerror}") from trouble
+        exchange.start(known, news)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, leaving.set)
+        try:
+            customers.listen(posting.listen)
+        except OSError as trouble:
+            raise Unfit(f"{posting.listen[0]}:{posting.listen[1]}: {trouble.strerror}") from trouble
+        work: dict[str, Callable[[], Awaitable[None]]] = {
+            "accept": customers.accept,
+            "tend": lambda: tend(exchange, nodes, customers),
+        }
+        if where := posting.roll:
+            work["roll"] = lambda: follow(where, register, version, exchange.rolled, exchange.roll_failed)
+        if posting.desk:
+            work["desk"] = desk.follow
+        tasks = [asyncio.ensure_future(kept(what, each)) for what, each in work.items()]
+        gc.collect()
+        gc.freeze()  # what stands from the start need not be looked at again
+        say("ready", name=posting.name, nodes=len(exchange.entries))
+        await leaving.wait()
+        say("leaving", in_hand=len(exchange.held))
+        await customers.leave()
+        stand(exchange, nodes, customers)
+        say("gone", in_hand=len(exchange.held))
+    finally:
+        for task in tasks:
+            task.cancel()
+        customers.close()
+        nodes.close()
+        desk.close()
+        if exchange.words:
+            exchange.words.close()
+        await asyncio.sleep(0)
+
+
+def serve(posting: Posting) -> None:
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    uvloop.run(marshal(posting))
--- /dev/null
+++ b/gatebank/net/words.py
@@ -0,0 +1,72 @@
+"""Words between marshals: datagrams out and in. Owns one UDP socket, given back by `close`.
+
+uvloop has no sock_recvfrom, and the sender must be known, so the socket is read when the loop finds it ready.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Sequence
+
+from gatebank import peers
+from gatebank.net.launch import Address
+
+TURN = 64  # datagrams taken before others get their turn
+
+
+class Words:
+    def __init__(
+        self,
+        listen: Address,
+        marshals: Sequence[Address],
+        to_all: Address | None,
+        me: int,
+        heard: Callable[[int, peers.Step | peers.Totals | peers.Fleet], None],
+    ) -> None:
+        self.marshals, self.to_all, self.me, self.heard = marshals, to_all, me, heard
+        self.numbers = {where: number for number, where in enumerate(marshals)}
+        self.dropped = 0
+        self.loop = asyncio.get_running_loop()
+        self.room = bytearray(peers.MOST_BYTES + 1)  # one more shows what is too long
+        family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        try:
+            self.sock.bind(listen)
+        except OSError:
+            self.sock.close()
+            raise
+        self.loop.add_reader(self.sock, self.ready)
+
+    def tell(self, peer: int | None, word: peers.Step | peers.Totals | peers.Fleet) -> None:
+        data = peers.encode(word)
+        if peer is not None:
+            targets = [self.marshals[peer]] if peer < len(self.marshals) else []
+        elif self.to_all:
+            targets = [self.to_all]
+        else:
+            targets = [where for number, where in enumerate(self.marshals) if number != self.me]
+        for where in targets if len(data) <= peers.MOST_BYTES else ():
+            try:
+                self.sock.sendto(data, where)
+            except OSError:  # lost, as a datagram may be
+                self.dropped += 1
+
+    def ready(self) -> None:
+        for _ in range(TURN):
+            try:
+                size, sender = self.sock.recvfrom_into(self.room)
+            except BlockingIOError:
+                return
+            except OSError:  # an earlier datagram was refused somewhere
+                continue
+            number = self.numbers.get(sender[:2])
+            word = peers.decode(bytes(self.room[:size])) if size <= peers.MOST_BYTES else None
+            if number is None or number == self.me or word is None:
+                self.dropped += 1
+            else:
+                self.heard(number, word)
+
+    def close(self) -> None:
+        self.loop.remove_reader(self.sock)
+        self.sock.close()
--- a/gatebank/adapter/orders.py
+++ b/gatebank/orders.py
@@ -1,4 +1,4 @@
-"""Standing orders from the wire's settings: their names become ours, milliseconds become seconds.
+"""Standing orders, for both fronts, from the settings handed over: names become ours, milliseconds seconds.
 
 Only what the settings hold is handed over; what they lack, the brain sees as missing.
 """
@@ -17,6 +17,8 @@
     ("me", "me", AS_IS),
     ("balancers", "marshals", AS_IS),
     ("zone", "zone", AS_IS),
+    ("zones", "zones", AS_IS),
+    ("kinds", "kinds", AS_IS),
     ("registry-mode", "roll_mode", AS_IS),
     ("round-ms", "tick", SECONDS),
     ("over-share-worth", "over_share_payoff", AS_IS),
@@ -33,6 +35,8 @@
     ("limits.retry-after", "may_say_back_in", AS_IS),
     ("limits.max-retry-after-ms", "most_back_in", SECONDS),
     ("limits.connect-timeout-ms", "connect_timeout", SECONDS),
+    ("limits.conn-idle-ms", "connection_idle", SECONDS),
+    ("limits.streams-per-conn", "shots_per_connection", AS_IS),
     ("invariants.answer-slack-ms", "answer_slack", SECONDS),
     ("invariants.drain-grace-ms", "drain_grace", SECONDS),
     ("invariants.fall-multiple", "fall_multiple", AS_IS),
