--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""A toy world to try gatebank in; see README.md beside this file."""
--- /dev/null
+++ b/examples/toy.py
@@ -0,0 +1,308 @@
+"""Nodes, discovery and a release desk in one process, on loopback: a stand-in by their published protocol.
+
+    python -m examples.toy world          runs them where examples/marshal.json expects them
+    python -m examples.toy ask 200        sends invocations to the marshal and counts its answers
+
+A node answers every command with its own name, after a few milliseconds; `plan` makes it do otherwise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from collections import Counter, deque
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+HERE = Path(__file__).parent
+PHASES = ("trial", "back", "released", "withdrawn")
+PROGRESS = dict(zip(PHASES, ("IN_PROGRESS", "ROLLING_BACK", "COMPLETE", "ROLLED_BACK"), strict=True))
+
+
+async def command(reader: asyncio.StreamReader) -> list[bytes]:
+    """One RESP command; IncompleteReadError once the other side has ended."""
+    count = int((await reader.readuntil(b"\r\n"))[1:])
+    words = []
+    for _ in range(count):
+        size = int((await reader.readuntil(b"\r\n"))[1:])
+        words.append((await reader.readexactly(size + 2))[:-2])
+    return words
+
+
+def packed(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
+@dataclass
+class Node:
+    """A toy node. What it does with its next commands is taken from the world's plan, else it answers."""
+
+    world: World
+    name: str
+    build: int
+    host: str
+    port: int = 0
+    lifecycle: str = "SERVING"
+    server: asyncio.Server | None = None
+    open: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
+        try:
+            while True:
+                words = await command(reader)
+                if words[0] == b"PING":
+                    writer.write(b"+PONG\r\n")
+                    continue
+                self.world.shots.append((self.name, words))
+                self.world.stir()
+                act = self.world.plan.popleft() if self.world.plan else "value"
+                act = "error" if self.name in self.world.sick else act
+                if act == "hang":
+                    await reader.read()  # until the other side has had enough
+                    return
+                if not await self.carry_out(act, writer):
+                    return
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+            self.world.stir()
+
+    async def carry_out(self, act: str, writer: asyncio.StreamWriter) -> bool:
+        """False if the connection ends with it."""
+        act, _, size = act.partition(":")
+        if act == "slow":
+            await asyncio.sleep(float(size))
+        value = self.name.encode() * int(size) if act == "value" and size else self.name.encode()
+        said = {
+            "error": b"-ERR failed inflight=1,util=0.5\r\n",
+            "busy": b"-BUSY\r\n",
+            "garbage": b"!what is this\r\n",
+            "null": b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+            "plus": b"+OK\r\n",
+            "half": b"*3\r\n$100\r\nonly so much",
+            "cut": b"",
+        }
+        report = b"inflight=?" if act == "broken_report" else b"inflight=1,util=0.5"
+        whole = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (len(value), value, len(report), report)
+        writer.write(said.get(act, whole) + (b"+unasked\r\n" if act == "unasked" else b""))
+        await writer.drain()
+        return act not in ("half", "cut")
+
+    async def stop(self) -> None:
+        """As if its process died: connections are reset, new ones refused."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+
+
+class World:
+    """Toy nodes, discovery and desk; `changed` wakes whoever waits for something to have happened."""
+
+    def __init__(self, host: str = "127.0.0.1", discovery: int = 0, desk: int = 0) -> None:
+        self.host, self.discovery_port, self.desk_port = host, discovery, desk
+        self.nodes: dict[str, Node] = {}
+        self.plan: deque[str] = deque()
+        self.sick: set[str] = set()
+        self.shots: list[tuple[str, list[bytes]]] = []
+        self.votes: list[dict[str, str]] = []
+        self.vote_plan: deque[str] = deque()
+        self.generation, self.changes = 1, dict[str, int]()
+        self.asked_after: Counter[int] = Counter()
+        self.state = {"image": 41, "ring": 2, "progress": "COMPLETE", "ceiling": 1.0, "lag_ms": 0}
+        self.streams: set[asyncio.StreamWriter] = set()
+        self.changed = asyncio.Event()
+        self.servers: list[asyncio.Server] = []
+        self.bad_listing: bytes | None = None
+
+    def stir(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def until(self, what: Any, patience: float = 10.0) -> None:
+        """Wait until ``what()`` holds, looking again whenever something has happened."""
+        async with asyncio.timeout(patience):
+            while not what():
+                await self.changed.wait()
+
+    async def start(self) -> None:
+        for serve, port in ((self.serve_discovery, "discovery_port"), (self.serve_desk, "desk_port")):
+            server = await asyncio.start_server(serve, self.host, getattr(self, port))
+            setattr(self, port, server.sockets[0].getsockname()[1])
+            self.servers.append(server)
+
+    async def stop(self) -> None:
+        for server in self.servers:
+            server.close()
+        for node in self.nodes.values():
+            await node.stop()
+        for writer in list(self.streams):
+            writer.transport.abort()
+
+    async def add(self, name: str, build: int, port: int = 0) -> None:
+        node = self.nodes[name] = Node(self, name, build, self.host, port)
+        await node.start()
+        self.list_anew(name)
+
+    def list_anew(self, name: str, lifecycle: str | None = None) -> None:
+        self.nodes[name].lifecycle = lifecycle or self.nodes[name].lifecycle
+        self.generation += 1
+        self.changes[name] = self.generation
+        self.stir()
+
+    def listing(self, after: int | None) -> dict[str, Any]:
+        nodes = [n for n in self.nodes.values() if after is None or self.changes[n.name] > after]
+        if after is None:
+            nodes = [n for n in nodes if n.lifecycle != "DELETED"]
+        rows = [
+            {
+                "instanceId": n.name, "hostPort": f"{n.host}:{n.port}", "zone": "here", "machineType": "toy",
+                "cell": 0, "lifecycle": n.lifecycle, "weight": 1.0, "startedAtMs": 0, "version_no": n.build,
+            }
+            for n in nodes
+        ]  # fmt: skip
+        return {"generation": self.generation, "reset": after is None, "instances": rows}
+
+    async def request(self, reader: asyncio.StreamReader) -> tuple[str, str, dict[str, str], str]:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        method, target, _ = head.split("\r\n")[0].split(" ")
+        names = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+        body = (await reader.readexactly(int(names.get("content-length", 0)))).decode()
+        return method, urlsplit(target).path, dict(parse_qsl(urlsplit(target).query)), body
+
+    async def serve_discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            while True:
+                _, _, query, _ = await self.request(reader)
+                after = int(query["after"]) if "after" in query else None
+                self.asked_after[after or 0] += 1
+                self.stir()
+                with suppress(TimeoutError):
+                    if after is not None:
+                        wait = int(query.get("wait_ms", 0)) / 1000
+                        await self.until(lambda after=after: self.newer(after), wait)
+                body = self.bad_listing or json.dumps(self.listing(after)).encode()
+                self.bad_listing = None
+                writer.write(answer("200 OK", "application/json", body))
+        writer.close()
+
+    def newer(self, after: int) -> bool:
+        return self.generation > after or self.bad_listing is not None
+
+    async def serve_desk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            while True:
+                method, path, _, body = await self.request(reader)
+                if method == "GET" and path.endswith("/stream"):
+                    await self.stream(writer)
+                    return
+                vote = dict(parse_qsl(body))
+                how = self.vote_plan.popleft() if self.vote_plan else "count"
+                self.votes.append(vote)
+                self.stir()
+                fields = "".join(f"<{name}>{value}</{name}>" for name, value in self.state.items())
+                told = f"<Response><groups><item>{fields}</item></groups></Response>"
+                status = "200 OK"
+                if how == "entity":
+                    told = '<!DOCTYPE a [<!ENTITY b "42">]><Response>&b;</Response>'
+                elif how != "count":
+                    status, told = "400 Bad Request", f"<Error><Code>{how}</Code></Error>"
+                writer.write(answer(status, "application/xml", told.encode()))
+        writer.close()
+
+    async def stream(self, writer: asyncio.StreamWriter) -> None:
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        self.streams.add(writer)
+        try:
+            self.tell(writer, self.event())
+            while True:
+                await asyncio.sleep(1.0)
+                self.tell(writer, ":\n\n")
+                await writer.drain()
+        finally:
+            self.streams.discard(writer)
+
+    def event(self) -> str:
+        return "event: ROLLOUT\ndata: " + "&".join(f"{k}={v}" for k, v in self.state.items()) + "\n\n"
+
+    def tell(self, writer: asyncio.StreamWriter, text: str) -> None:
+        writer.write(b"%x\r\n%b\r\n" % (len(text.encode()), text.encode()))
+
+    def news(self, build: int, stage: int, phase: str, cap: float) -> None:
+        self.state = {
+            "image": build, "ring": stage, "progress": PROGRESS[phase], "ceiling": cap, "lag_ms": 0,
+        }  # fmt: skip
+        for writer in self.streams:
+            self.tell(writer, self.event())
+
+
+def answer(status: str, kind: str, body: bytes) -> bytes:
+    return f"HTTP/1.1 {status}\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def show() -> None:
+    """The world of the example: a build is offered after some seconds and goes as the marshal votes."""
+    world = World("127.0.0.1", 8500, 6400)
+    await world.start()
+    for number in range(4):
+        await world.add(f"toy-{number}", 41, 7000 + number)
+    print("toy world: discovery 127.0.0.1:8500, release desk 127.0.0.1:6400, nodes from 127.0.0.1:7000")
+    await asyncio.sleep(8)
+    caps = [0.25, 1.0]
+    for stage, cap in enumerate(caps):
+        await world.add(f"toy-new-{stage}", 42, 7010 + stage)
+        world.news(42, stage, "trial", cap)
+        print(f"build 42: stage {stage}, cap {cap}")
+        seen = len(world.votes)
+        await world.until(lambda seen=seen: len(world.votes) > seen, 3600)
+        print("vote:", world.votes[-1]["opinion"])
+        await asyncio.sleep(2)
+        if world.votes[-1]["opinion"] != "on":
+            world.news(42, stage, "withdrawn", 0.0)
+            break
+    else:
+        world.news(42, len(caps) - 1, "released", 1.0)
+        print("build 42: released")
+    await asyncio.Event().wait()
+
+
+async def ask(count: int) -> None:
+    """Invocations, ten at a time, and what became of them."""
+    where = json.loads((HERE / "marshal.json").read_text())["listen"].split(":")
+    found: Counter[str] = Counter()
+
+    async def one(number: int) -> None:
+        reader, writer = await asyncio.open_connection(where[0], int(where[1]))
+        for _ in range(count // 10):
+            which = random.choice(["read", "sign", "pay"])
+            name = b"Q.ASK" if which == "read" else b"Q.DO"
+            names = f"c={which},t=all,d=2000,k=%016x" % random.getrandbits(64)
+            writer.write(packed(name, b"key%d" % number, b"%032x" % random.getrandbits(128), names.encode()))
+            first = (await reader.readuntil(b"\r\n")).decode().strip()
+            if first.startswith("$"):
+                first = (await reader.readexactly(int(first[1:]) + 2)).decode().strip()
+            found[first] += 1
+            await asyncio.sleep(0.02)
+        writer.close()
+
+    await asyncio.gather(*map(one, range(10)))
+    for what, many in sorted(found.items()):
+        print(f"{many:6} {what}")
+
+
+if __name__ == "__main__":
+    with suppress(KeyboardInterrupt):
+        asyncio.run(ask(int((sys.argv[2:] or ["200"])[0])) if sys.argv[1:2] == ["ask"] else show())
--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -8,7 +8,7 @@
 import typer
 
 from gatebank import __version__
-from gatebank.net import launch, log, service
+from gatebank.net import launch, log, roll, service
 
 app = typer.Typer(
     add_completion=False,
@@ -48,6 +48,7 @@
     """Say whether a marshal can start with this configuration, without starting it."""
     try:
         found = posting(configuration)
+        service.at_start(found, roll.Register(found.standing_orders))
     except launch.Unfit as trouble:
         refuse(trouble)
     workloads = ", ".join(each["name"] for each in found.standing_orders["workloads"])
--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -11,6 +11,7 @@
 import socket
 from collections import deque
 from collections.abc import Mapping, Sequence
+from contextlib import suppress
 from hashlib import blake2b
 from typing import Any, Protocol
 
@@ -22,6 +23,7 @@
 OWED = (
     48 * 1024 * 1024
 )  # bytes of answers that customers have not taken, of all together: a quarter of 192 MB
+LINGER = 1.0  # s a customer that sent no command may go on sending
 STALL = 10.0  # s without taking a byte of an answer
 BACKLOG = 1024
 NOTICED = 0.45  # s after SIGTERM: until 0.4 s new connections go on coming (PROTOCOL)
@@ -122,7 +124,7 @@
         self.owner, self.sock = owner, sock
         self.slots: deque[Slot] = deque()  # in the order of the commands; emptied by answers, or by `close`
         self.rest = b""  # of answers, not yet taken
-        self.ending = self.closed = False
+        self.closed = False
         self.free = asyncio.Event()
         self.reader = asyncio.ensure_future(self.read())
         self.writer: asyncio.Task[None] | None = None
@@ -134,7 +136,7 @@
     async def read(self) -> None:
         inbox = resp.Inbox()
         try:
-            while not self.ending:
+            while True:
                 if len(self.slots) >= IN_HAND or self.rest:
                     self.free.clear()
                     await self.free.wait()
@@ -148,12 +150,23 @@
         except resp.Broken as trouble:
             say("customer_broken", logging.WARNING, why=trouble)
             self.refuse(str(trouble))
-            self.ending = True
+            await self.linger()
         except OSError:
             pass
         finally:
-            if not self.ending or self.idle:
-                self.close()
+            self.close()
+
+    async def linger(self) -> None:
+        """The customer may still be sending: read on to no use, that a reset does not take its error line."""
+        while not self.idle:
+            self.free.clear()
+            await self.free.wait()
+        self.sock.shutdown(socket.SHUT_WR)
+        room = bytearray(4096)
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(LINGER):
+                while await self.owner.loop.sock_recv_into(self.sock, room):
+                    pass
 
     def take(self, words: list[memoryview]) -> None:
         name = bytes(words[0][:16]).upper()
@@ -246,7 +259,6 @@
         self.lines: set[Line] = set()  # a row a connection; each goes with `Line.close`
         self.owed, self.peak, self.leaving = 0, 0, False
         self.listener: socket.socket | None = None
-        self.empty = asyncio.Event()
 
     def listen(self, where: Address) -> None:
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
@@ -282,11 +294,9 @@
         return line is not None
 
     def settle(self, line: Line) -> None:
-        """An answer is out: a line that is to end, ends when it is idle."""
-        if line.idle and (line.ending or (self.leaving and unread(line.sock) == 0)):
+        """An answer is out: while this marshal leaves, a line ends when it is idle."""
+        if self.leaving and line.idle and unread(line.sock) == 0:
             line.close()
-        if self.leaving and not self.lines:
-            self.empty.set()
 
     async def leave(self) -> None:
         """SIGTERM: serve on until nobody sends anew, then close each connection as it becomes idle."""
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -115,21 +115,24 @@
 
     def rescue(self, words: tuple[Any, ...]) -> None:
         """The marshal failed in an event: no invocation is left without its final answer."""
-        number = (
-            words[0].number if words and isinstance(words[0], Invocation) else words[0] if words else None
-        )
-        held = self.held.get(number) if isinstance(number, int) else None
-        if held and not held.answered:
+        first = words[0] if words else None
+        held = self.held.get(first.number) if isinstance(first, Invocation | Held) else None
+        if held:
+            self.abandon(held)
+
+    def abandon(self, held: Held) -> None:
+        """A final answer in the marshal's stead, which then forgets the invocation."""
+        if not held.answered:
+            self.count("abandoned")
+            self.answered(held)
             held.slot.broken_off("broken off")
-            self.settle(held)
-            for shot in held.shots:
-                if shot:
-                    shot.give_up(Ending.WITHDRAWN)
+            self.turn(self.marshal.on_client_left, held.number)
+            self.turn(self.settle, held)
 
-    def start(self, known: tuple[list[RollEntry], bool] | None, news: StageNews | None) -> None:
+    def start(self, known: list[RollEntry] | None, news: StageNews | None) -> None:
         """What a marshal begins with: the roll as it last had it, then the release desk's news."""
         if known:
-            self.rolled(known[0], True)
+            self.rolled(known, True)
         if news:
             self.desk.take(news)
 
@@ -161,10 +164,7 @@
                 shot.give_up(Ending.TIMED_OUT)
         if not held.answered:
             say("unanswered", logging.ERROR, workload=held.asked.workload)
-            held.slot.broken_off("broken off")
-            self.answered(held)
-            self.turn(self.marshal.on_client_left, held.number)
-            self.turn(self.settle, held)
+            self.abandon(held)
 
     def shot_ended(
         self,
@@ -183,9 +183,10 @@
         if ending is Ending.SATISFIED and value is not None and not held.answered:
             held.slot.satisfied(value)
             self.answered(held)
-        elif ending not in (Ending.SATISFIED, Ending.WITHDRAWN):
+        if LOG.isEnabledFor(logging.DEBUG):
             keys = {"node": self.register.names[node], "workload": held.asked.workload, "took": took}
-            say("shot", logging.DEBUG, ending=ending.value, **keys)
+            build = self.entries[node].build if node in self.entries else None
+            say("shot", logging.DEBUG, ending=ending.value, build=build, **keys)
         self.turn(self.tell_ended, held, Ended(number, ending, took, False, report))
 
     def tell_ended(self, held: Held, ended: Ended) -> None:
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -94,7 +94,10 @@
     async def read(self) -> None:
         inbox, owner = resp.Inbox(), self.house.owner
         try:
-            while size := await owner.loop.sock_recv_into(self.sock, inbox.room()):
+            while not self.closed:
+                size = await owner.loop.sock_recv_into(self.sock, inbox.room())
+                if not size:
+                    break
                 inbox.filled(size)
                 for reply in inbox.replies():
                     if not self.shots or not self.shots[0].written:
@@ -114,9 +117,8 @@
 
     def forsake(self, shot: Shot) -> None:
         if all(each.done or each is shot for each in self.shots):
-            shot.done, ended = True, shot.done
+            self.shots.clear()
             self.close()
-            shot.done = ended
         # else others are out on it: what comes for this one is passed over
 
     def close(self) -> None:
--- a/gatebank/net/service.py
+++ b/gatebank/net/service.py
@@ -11,6 +11,7 @@
 
 import uvloop
 
+from gatebank.interface import RollEntry, StageNews
 from gatebank.net.customers import Customers
 from gatebank.net.desk import Desk, state
 from gatebank.net.exchange import Clock, Exchange
@@ -57,10 +58,22 @@
         node_connections=nodes.open,
         node_connections_peak=nodes.peak,
         memory_mb=memory,
+        words_dropped=exchange.words.dropped if exchange.words else 0,
         **counts,
     )
 
 
+def at_start(
+    posting: Posting, register: Register
+) -> tuple[list[RollEntry] | None, int | None, StageNews | None]:
+    """What the configuration says of the roll, its version, and the newest build."""
+    try:
+        known, _, version = register.entries(posting.known) if posting.known else (None, None, None)
+        return known, version, state(dict(posting.desk_news)) if posting.desk_news else None
+    except (TypeError, ValueError) as trouble:
+        raise Unfit(str(trouble)) from trouble
+
+
 async def marshal(posting: Posting) -> None:
     loop = asyncio.get_running_loop()
     orders, clock = dict(posting.standing_orders), Clock()
@@ -80,16 +93,9 @@
             if posting.peer_listen and orders.get("may_tell"):
                 peers = (posting.peer_listen, posting.peers, posting.peers_all, orders["me"])
                 exchange.words = Words(*peers, exchange.heard)
-            known = version = news = None
-            if posting.known:
-                entries, _, version = register.entries(posting.known)
-                known = entries, True
-            if posting.desk_news:
-                news = state(dict(posting.desk_news))
-        except ValueError as trouble:
-            raise Unfit(str(trouble)) from trouble
         except OSError as trouble:
             raise Unfit(f"{posting.peer_listen}: {trouble.strerror}") from trouble
+        known, version, news = at_start(posting, register)
         exchange.start(known, news)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, leaving.set)
