--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -172,6 +172,7 @@
         name = bytes(words[0][:16]).upper()
         slot = Slot(self)
         self.slots.append(slot)
+        self.owner.lines[self] = self.owner.lines.pop(self, None)
         if name == b"PING":
             slot.answer([b"+PONG\r\n"])
         elif name in (b"Q.ASK", b"Q.DO"):
@@ -242,7 +243,7 @@
         for task in (self.reader, self.writer):
             if task and task is not asyncio.current_task():
                 task.cancel()
-        self.owner.lines.discard(self)
+        self.owner.lines.pop(self, None)
         self.owner.owed -= len(self.rest)
         self.sock.close()
         while self.slots:
@@ -256,7 +257,8 @@
         self.loop, self.door, self.most = asyncio.get_running_loop(), door, most
         self.workloads = {each["name"]: i for i, each in enumerate(orders["workloads"])}
         self.customers = {each.get("name", str(i)): i for i, each in enumerate(orders["customers"])}
-        self.lines: set[Line] = set()  # a row a connection; each goes with `Line.close`
+        # A row a connection, the longest unused first; each goes with `Line.close`.
+        self.lines: dict[Line, None] = {}
         self.owed, self.peak, self.leaving = 0, 0, False
         self.listener: socket.socket | None = None
 
@@ -269,26 +271,28 @@
 
     async def accept(self) -> None:
         while self.listener:
-            if len(self.lines) >= self.most and not self.spare():
-                await asyncio.sleep(0.01)  # they wait in the backlog until one is idle
-                continue
             try:
                 sock, _ = await self.loop.sock_accept(self.listener)
             except OSError as trouble:
                 say("accept_failed", logging.WARNING, why=trouble)
                 await asyncio.sleep(0.05)
                 continue
-            self.welcome(sock)
+            newest = self.welcome(sock)
+            while len(self.lines) > self.most and not self.spare(newest):
+                await asyncio.sleep(0.01)  # the next wait in the backlog until one is idle
 
-    def welcome(self, sock: socket.socket) -> None:
+    def welcome(self, sock: socket.socket) -> Line:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.lines.add(Line(self, sock))
+        line = Line(self, sock)
+        self.lines[line] = None
         self.peak = max(self.peak, len(self.lines))
+        return line
 
-    def spare(self) -> bool:
-        """Close an idle connection to make room; false if there is none."""
-        line = next((line for line in self.lines if line.idle and unread(line.sock) == 0), None)
+    def spare(self, newest: Line) -> bool:
+        """Close an idle connection to make room, but the newest, whose command is on its way."""
+        idle = (line for line in self.lines if line.idle and line is not newest)
+        line = next((line for line in idle if unread(line.sock) == 0), None)
         if line:
             line.close()
         return line is not None
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -84,8 +84,8 @@
         self.held_bytes = 0
         self.entries: dict[int, RollEntry] = {}  # the roll as told last
         self.news: StageNews | None = None
-        # As many as there are endings and answers.
-        self.counts: dict[str, int] = {}
+        self.counts: dict[str, int] = {}  # as many as there are kinds of endings and answers
+        self.lag = 0.0  # s the latest wake came late, since last told: this process did not get its turn
         self.patience = min((o.get("target_time", 1.0) for o in orders["workloads"]), default=1.0)
 
     # Events in, one at a time.
@@ -218,6 +218,10 @@
     def heard(self, peer: int, word: peers.Step | peers.Totals | peers.Fleet) -> None:
         self.turn(self.marshal.on_peer, peer, word)
 
+    def wake(self, at: float, name: str) -> None:
+        self.lag = max(self.lag, self.clock() - at)
+        self.turn(self.marshal.on_wake, name)
+
     def probed(self, node: int, ending: Ending) -> None:
         self.turn(self.marshal.on_probed, node, ending)
 
@@ -228,7 +232,7 @@
             case Shoot(number, node, until):
                 self.shoot(self.held[number], node, until)
             case Wake(at, name):
-                self.loop.call_later(max(0.0, at - self.clock()), self.turn, self.marshal.on_wake, name)
+                self.loop.call_later(max(0.0, at - self.clock()), self.wake, at, name)
             case Withdraw(number, shot):
                 held = self.held.get(number)
                 if held and held.shots[shot]:
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -147,7 +147,8 @@
         self.owner, self.key, self.name = owner, key, name
         self.lines: set[Line] = set()
         self.idle: list[Line] = []  # the last used is used first, so that the others grow old and go
-        self.waiting: deque[Shot] = deque()  # for a connection; each has one on its way
+        self.waiting: deque[Shot] = deque()  # for a connection, in turn; emptied as they come or do not
+        self.coming = 0  # connections on their way
         self.left = False  # it is off the roll: no line is kept
 
     def drop(self, line: Line) -> None:
@@ -155,8 +156,14 @@
         if line in self.idle:
             self.idle.remove(line)
         self.owner.open -= 1
+        self.strand()
         self.owner.sweep_house(self)
 
+    def strand(self) -> None:
+        """Who waits with no connection left or coming has waited for nothing."""
+        while self.waiting and not self.lines and not self.coming:
+            self.waiting.popleft().finish(Ending.NO_CONNECTION)
+
     def park(self, line: Line) -> None:
         """A line has nothing out: to the first that waits, or idle."""
         while self.waiting and not line.closed:
@@ -221,6 +228,7 @@
             house.waiting.append(shot)
             self.open += 1
             self.peak = max(self.peak, self.open)
+            house.coming += 1
             task = asyncio.ensure_future(self.connect(house, shot))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
@@ -228,6 +236,8 @@
             lines = [line for line in house.lines if not line.writer and len(line.shots) < self.streams]
             if lines:
                 min(lines, key=lambda line: len(line.shots)).write(shot)
+            elif house.coming:
+                house.waiting.append(shot)
             else:
                 say("no_descriptor", logging.WARNING, open=self.open)
                 shot.finish(Ending.NOT_SENT)
@@ -246,20 +256,20 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, where)
-        except (OSError, TimeoutError):
+        except BaseException as trouble:
+            house.coming -= 1
             self.open -= 1
             if sock:
                 sock.close()
+            if not isinstance(trouble, OSError | TimeoutError):
+                raise
             if shot in house.waiting:
                 house.waiting.remove(shot)
                 shot.finish(Ending.NO_CONNECTION)
+            house.strand()
             self.sweep_house(house)
-        except BaseException:
-            self.open -= 1
-            if sock:
-                sock.close()
-            raise
         else:
+            house.coming -= 1
             line = Line(house, sock)
             house.lines.add(line)
             house.park(line)
--- a/gatebank/net/service.py
+++ b/gatebank/net/service.py
@@ -58,9 +58,11 @@
         node_connections=nodes.open,
         node_connections_peak=nodes.peak,
         memory_mb=memory,
+        lag=round(exchange.lag, 3),
         words_dropped=exchange.words.dropped if exchange.words else 0,
         **counts,
     )
+    exchange.lag = 0.0
 
 
 def at_start(
--- a/gatebank/net/words.py
+++ b/gatebank/net/words.py
@@ -62,9 +62,9 @@
                 continue
             number = self.numbers.get(sender[:2])
             word = peers.decode(bytes(self.room[:size])) if size <= peers.MOST_BYTES else None
-            if number is None or number == self.me or word is None:
+            if number is None or word is None:
                 self.dropped += 1
-            else:
+            elif number != self.me:
                 self.heard(number, word)
 
     def close(self) -> None:
