--- a/examples/toy.py
+++ b/examples/toy.py
@@ -3,7 +3,7 @@
     python -m examples.toy world          runs them where examples/marshal.json expects them
     python -m examples.toy ask 200        sends invocations to the marshal and counts its answers
 
-A node answers every command with its own name, after a few milliseconds; `plan` makes it do otherwise.
+A node answers every command with its own name; `plan` and `sick` make it do otherwise.
 """
 
 from __future__ import annotations
