--- a/examples/toy.py
+++ b/examples/toy.py
@@ -235,6 +235,11 @@
         finally:
             self.streams.discard(writer)
 
+    def say(self, text: str, whole: bool = True) -> None:
+        """Any text on the streams, as a chunk or as it is."""
+        for writer in self.streams:
+            self.tell(writer, text) if whole else writer.write(text.encode())
+
     def event(self) -> str:
         return "event: ROLLOUT\ndata: " + "&".join(f"{k}={v}" for k, v in self.state.items()) + "\n\n"
 
@@ -245,8 +250,7 @@
         self.state = {
             "image": build, "ring": stage, "progress": PROGRESS[phase], "ceiling": cap, "lag_ms": 0,
         }  # fmt: skip
-        for writer in self.streams:
-            self.tell(writer, self.event())
+        self.say(self.event())
 
 
 def answer(status: str, kind: str, body: bytes) -> bytes:
--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -36,53 +36,60 @@
 class Asked:
     """An invocation as a customer wrote it, copied: it outlives the buffer, as it may need several shots."""
 
-    __slots__ = ("after", "before", "cost_guess", "customer", "key", "left", "repeated", "size", "workload")
+    __slots__ = ("cost_guess", "customer", "key", "left", "parts", "repeated", "size", "workload")
 
     def __init__(
         self, words: Sequence[memoryview], workloads: Mapping[str, int], customers: Mapping[str, int]
-    ):
+    ) -> None:
         if len(words) < 4:
             raise Senseless("a command needs a key, an id and names and values")
-        pairs = [each.partition("=") for each in bytes(words[3]).decode("utf-8", "replace").split(",")]
-        names = {name: value for name, _, value in reversed(pairs)}
+        told = bytes(words[3]).decode("utf-8", "surrogateescape").split(",")  # unknown names pass unchanged
+        pairs = [each.partition("=")[::2] for each in told]
+        names = dict(reversed(pairs))
         if names.get("c") not in workloads:
             raise Senseless("no such workload")
         if customers and names.get("t") not in customers:
             raise Senseless("no such customer")
         self.workload, self.customer = workloads[names["c"]], customers.get(names.get("t", ""), 0)
-        self.left, guess = number(names.get("d"), "d"), names.get("h")
-        self.cost_guess = number(guess, "h") / 1000 if guess else None  # d is in ms, h in us
+        left, guess = number(names.get("d")), number(names.get("h"))
+        if not left:
+            raise Senseless("d is no time")
+        self.left, self.cost_guess = left / 1e3, guess / 1e6 if guess else None  # ms and us
         self.repeated = names.get("r") == "1"
         subject = bytes(words[1])
         self.key = int.from_bytes(blake2b(subject, digest_size=6).digest(), "big") if subject else None
-        before = b"".join(part for word in words[:3] for part in resp.bulk(word))
-        self.before = b"*%d\r\n%b" % (len(words), before)
-        at = next(i for i, (name, _, _) in enumerate(pairs) if name == "d")
-        told = ["".join(pair) for pair in pairs]
-        self.before, self.after = (
-            (self.before, ",".join([*told[:at], "d="]).encode()),
-            (
-                ",".join(["", *told[at + 1 :]]).encode(),
-                b"".join(part for word in words[4:] for part in resp.bulk(word)),
-            ),
+        at = next(i for i, (name, _) in enumerate(pairs) if name == "d")
+        before, after = ",".join([*told[:at], "d="]), ",".join(["", *told[at + 1 :]])
+        self.parts = (  # all but the figure of d, which is the marshal's
+            b"*%d\r\n" % len(words) + resp.bulks(words[:3]),
+            before.encode("utf-8", "surrogateescape"),
+            after.encode("utf-8", "surrogateescape"),
+            resp.bulks(words[4:]),
         )
-        self.size = sum(map(len, (*self.before, *self.after)))
+        self.size = sum(map(len, self.parts))
 
     def command(self, left: float) -> bytes:
-        """As it goes to a node that has ``left`` seconds for it."""
-        names = b"%b%d%b" % (self.before[1], max(1, int(left * 1000)), self.after[0])
-        return b"".join((self.before[0], *resp.bulk(names), self.after[1]))
-
-
-def number(text: str | None, what: str) -> float:
-    """Milliseconds, or the like, as the thousandth."""
+        """As it goes to a node that has ``left`` seconds for it.
+
+        >>> words = (b"Q.ASK", b"k", b"id", b"z=\\xff,d=480,c=read,d=1", b"body")
+        >>> Asked([memoryview(word) for word in words], {"read": 0}, {}).command(0.25)[30:]
+        b'$20\\r\\nz=\\xff,d=250,c=read,d=1\\r\\n$4\\r\\nbody\\r\\n'
+        """
+        head, before, after, body = self.parts
+        names = b"%b%d%b" % (before, max(1, int(left * 1000)), after)
+        return b"".join((head, *resp.bulk(names), body))
+
+
+def number(text: str | None) -> float | None:
+    """
+    >>> number("480"), number("0"), number("nan"), number(None)
+    (480.0, None, None, None)
+    """
     try:
-        value = float(text or "") / 1000
+        value = float(text or "")
     except ValueError:
-        value = 0.0
-    if not 0 < value < 1e6:
-        raise Senseless(f"{what} is no time")
-    return value
+        return None
+    return value if 0 < value < 1e9 else None
 
 
 class Door(Protocol):
--- a/gatebank/net/desk.py
+++ b/gatebank/net/desk.py
@@ -81,6 +81,8 @@
     >>> parts = (b":\\nevent: DIS", b"PUTE\\ndata: host=a&", b"type=b\\n", b"\\n")
     >>> [event for part in parts for event in events.feed(part)]
     [('DISPUTE', 'host=a&type=b')]
+    >>> [event for byte in b"".join(parts) for event in events.feed(bytes([byte]))]  # cut anywhere
+    [('DISPUTE', 'host=a&type=b')]
     """
 
     def __init__(self) -> None:
--- a/gatebank/net/resp.py
+++ b/gatebank/net/resp.py
@@ -12,6 +12,15 @@
 >>> inbox.put(b"*3\\r\\n$2\\r\\nok\\r\\n$-1\\r\\n$6\\r\\nutil=1\\r\\n-BUSY\\r\\n$")
 >>> [(r.mark, [w and bytes(w) for w in r.words]) for r in inbox.replies()]
 [('*', [b'ok', None, b'util=1']), ('-', [b'BUSY'])]
+
+Cut anywhere, it is the same:
+
+>>> found, inbox = [], Inbox(64)
+>>> for byte in b"*2\\r\\n$2\\r\\nok\\r\\n$-1\\r\\n+PONG\\r\\n$4\\r\\n\\r\\n\\r\\n\\r\\n":
+...     inbox.put(bytes([byte]))
+...     found += [(reply.mark, [word and bytes(word) for word in reply.words]) for reply in inbox.replies()]
+>>> found
+[('*', [b'ok', None]), ('+', [b'PONG']), ('$', [b'\\r\\n\\r\\n'])]
 """
 
 from __future__ import annotations
@@ -157,7 +166,11 @@
     >>> command([b"PING"])
     b'*1\\r\\n$4\\r\\nPING\\r\\n'
     """
-    return b"".join([b"*%d\r\n" % len(words), *(part for word in words for part in bulk(word))])
+    return b"*%d\r\n" % len(words) + bulks(words)
+
+
+def bulks(words: Sequence[bytes | memoryview]) -> bytes:
+    return b"".join(part for word in words for part in bulk(word))
 
 
 def bulk(value: bytes | memoryview) -> tuple[bytes, bytes | memoryview, bytes]:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,6 +13,7 @@
     raw "BYTES" "ANSWER"           a customer's bytes at once and byte by byte; the answer begins so
     datagram "BYTES"               to the marshal, from nobody it knows
     add NODE:BUILD, drain NODE, gone NODE, kill NODE, listing "BYTES", told (the marshal has read it)
+    event "TEXT", chunk "TEXT"     on the desk's stream, as a chunk or in place of one
     news BUILD/STAGE PHASE CAP     vote VERDICT BUILD (it comes)       log WORDS (such a line comes)
     shots K, only NODE,..., to NODE    how many commands came, all of them and the last to these
     term, ended STATUS             SIGTERM; it ends so
@@ -238,6 +239,12 @@
         for marshal in self.marshals:
             await marshal.says("event=stage", f"build={build}", f"stage={stage}", f"cap={float(cap):.4g}")
 
+    async def do_event(self, me: int, text: str) -> None:
+        self.world.say(text.encode().decode("unicode_escape"))
+
+    async def do_chunk(self, me: int, text: str) -> None:
+        self.world.say(text.encode().decode("unicode_escape"), whole=False)
+
     async def do_vote(self, me: int, verdict: str, build: str) -> None:
         wanted = {"opinion": verdict, "image": build}.items()
         await self.world.until(lambda: any(wanted <= vote.items() for vote in self.world.votes), PATIENCE)
