--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -20,9 +20,7 @@
 from gatebank.net.log import say
 
 IN_HAND = 64  # commands of a connection before it is read on
-OWED = (
-    48 * 1024 * 1024
-)  # bytes of answers that customers have not taken, of all together: a quarter of 192 MB
+OWED = 24 * 1024 * 1024  # bytes of answers not taken, of all together: an eighth of 192 MB
 LINGER = 1.0  # s a customer that sent no command may go on sending
 STALL = 10.0  # s without taking a byte of an answer
 BACKLOG = 1024
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -43,7 +43,7 @@
 from gatebank.net.roll import Register
 from gatebank.net.words import Words
 
-HELD_BYTES = 48 * 1024 * 1024  # of customers' commands in hand: a quarter of 192 MB
+HELD_BYTES = 24 * 1024 * 1024  # of customers' commands in hand: an eighth of 192 MB
 ROW = 2048  # bytes an invocation in hand takes besides, about
 
 
--- a/gatebank/net/log.py
+++ b/gatebank/net/log.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import os
+import select
 import sys
 from typing import Any
 
@@ -44,8 +46,36 @@
     return f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if trace else "?"
 
 
+class Unblocked(logging.Handler):
+    """Writes a line only where it surely fits: a log taken late, or not at all, must not stop
+    a marshal. A pipe that is ready has room for PIPE_BUF bytes. Lines that found none are counted, and told of later."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor, self.dropped = descriptor, 0
+        self.ready = select.poll()
+        self.ready.register(descriptor, select.POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        lines = [self.format(record)]
+        if self.dropped:
+            at = f"{record.created:.3f}"
+            lines.insert(0, f"at={at} level=warning event=log_dropped lines={self.dropped}")
+        for line in lines:
+            try:
+                fits = bool(self.ready.poll(0))
+                if fits:
+                    os.write(self.descriptor, line.encode()[: select.PIPE_BUF - 1] + b"\n")
+            except OSError:  # nobody is there any more
+                fits = False
+            if not fits:
+                self.dropped += 1
+                return
+            if len(lines) > 1 and line is lines[0]:
+                self.dropped = 0
+
+
 def begin(level: str) -> None:
-    handler = logging.StreamHandler(sys.stderr)
+    handler = Unblocked(sys.stderr.fileno())
     handler.setFormatter(KeyValue())
     logging.basicConfig(handlers=[handler], level=level.upper(), force=True)
-    logging.raiseExceptions = False  # a log that nobody takes is no reason to stop
--- a/gatebank/net/resp.py
+++ b/gatebank/net/resp.py
@@ -49,7 +49,7 @@
 class Inbox:
     """One connection's buffer. It grows to what one message may need and shrinks again when empty."""
 
-    def __init__(self, most: int = 4 * MOST_VALUE) -> None:
+    def __init__(self, most: int = MOST_VALUE + MOST_LINE * 4) -> None:
         self.most, self.data = most, bytearray(FIRST_ROOM)
         self.start, self.end = 0, 0
 
@@ -64,7 +64,7 @@
         if len(self.data) - held < LEAST_ROOM:
             if held >= self.most:
                 raise Broken("a message is too long")
-            self.data = self.data[:held] + bytearray(held + LEAST_ROOM)
+            self.data = self.data[:held] + bytearray(min(held, self.most - held) + LEAST_ROOM)
         return memoryview(self.data)[held:]
 
     def filled(self, size: int) -> None:
