--- a/gatebank/net/log.py
+++ b/gatebank/net/log.py
@@ -47,8 +47,8 @@
 
 
 class Unblocked(logging.Handler):
-    """Writes a line only where it surely fits: a log taken late, or not at all, must not stop
-    a marshal. A pipe that is ready has room for PIPE_BUF bytes. Lines that found none are counted, and told of later."""
+    """Writes a line only where it surely fits: a log taken late, or not at all, must not stop a marshal. A
+    pipe that is ready has room for PIPE_BUF bytes. Lines that found none are counted, and told of later."""
 
     def __init__(self, descriptor: int) -> None:
         super().__init__()
