--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -393,18 +393,20 @@
         warm = self.age(node) >= self.orders["warm_up"] + 1  # a cold node is late whatever it runs
         timed = on_trial and warm and not broke and w not in self.stuck and self.now - took >= self.woke_at
         met = trial is not None and trial.own[0][1] >= min(5, 25 / self.orders["marshals"])  # it gets traffic
+        if trial and timed:
+            mates = median_high([n.slow for n in self.ready if n.entry.build == trial.build] or [1.0])
+            others = median_high([n.slow for n in self.ready if n.entry.build < trial.build] or [mates])
         if trial and timed and met and (calm := self.calm_pace.get(key)):
-            # Late, with no more traffic than before: it may slow all. The middle node must show it, here and
-            # below: neighbours, pauses, queues at one do not count.
+            # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
+            # (0.7: beyond chance). The middle node must show it, here and below: no neighbour, pause, queue.
             node.drag = learned(node.drag, took / calm[0], 0.15)
             middle = median_high([n.drag[0] for n in self.ready if n.drag[1] and not n.aside] or [1.0])
-            late = took > 2.5 * calm[0] and middle > 1.3 and self.load() < 1.35 * self.calm_load
-            self.move(Trial.EVERYWHERE, node, late)
+            alike = middle > 1.3 and mates > 0.7 * others and self.load() < 1.35 * self.calm_load
+            self.move(Trial.EVERYWHERE, node, alike and took > 2.5 * calm[0])
         if ending is Ending.SATISFIED and warm and (earlier or not on_trial):
             self.earlier_pace[key] = learned((pace, known), took, 0.02)
         if earlier or not (on_trial or self.saw_trial):
-            # What breaks here too, from this moment on, is no fault of the build on trial, unless at a sick
-            # node: a bad build must not hide behind those.
+            # What breaks here too from now on is no fault of the trial build; at sick nodes it might hide it.
             for ratio, bad in ((0, broke), (Trial.LATE, took > 3 * pace > 0), (Trial.FIRST + w, broke)):
                 (was, n, fast), lately = self.past[ratio], bad and node.faults < 0.4
                 self.past[ratio] = was * 0.99 + bad, n * 0.99 + 1, fast + (lately - fast) * 0.1
@@ -412,8 +414,6 @@
             self.move(0, node, broke)
             self.move(Trial.FIRST + w, node, broke)
             if known >= 20 and timed:
-                others = median_high([n.slow for n in self.ready if n.entry.build < build] or [1e9])
-                mates = median_high([n.slow for n in self.ready if n.entry.build == build] or [1.0])
                 self.move(Trial.LATE, node, took > 3 * pace and mates > 1.2 * others)
         self.decide()
 
