--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -18,6 +18,7 @@
 from gatebank.net import resp
 from gatebank.net.launch import Address
 from gatebank.net.log import say
+from gatebank.net.sockets import give_back, opened, waiting
 
 IN_HAND = 64  # commands of a connection before it is read on
 OWED = 24 * 1024 * 1024  # bytes of answers not taken, of all together: an eighth of 192 MB
@@ -245,12 +246,9 @@
         if self.closed:
             return
         self.closed = True
-        for task in (self.reader, self.writer):
-            if task and task is not asyncio.current_task():
-                task.cancel()
         self.owner.lines.pop(self, None)
         self.owner.owed -= len(self.rest)
-        self.sock.close()
+        give_back(self.sock, self.reader, self.writer)
         while self.slots:
             slot = self.slots.popleft()
             if slot.parts is None:
@@ -268,8 +266,7 @@
         self.listener: socket.socket | None = None
 
     def listen(self, where: Address) -> None:
-        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-        self.listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.listener = opened(where)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(where)
         self.listener.listen(BACKLOG)
@@ -297,14 +294,14 @@
     def spare(self, newest: Line) -> bool:
         """Close an idle connection to make room, but the newest, whose command is on its way."""
         idle = (line for line in self.lines if line.idle and line is not newest)
-        line = next((line for line in idle if unread(line.sock) == 0), None)
+        line = next((line for line in idle if waiting(line.sock) == 0), None)
         if line:
             line.close()
         return line is not None
 
     def settle(self, line: Line) -> None:
         """An answer is out: while this marshal leaves, a line ends when it is idle."""
-        if self.leaving and line.idle and unread(line.sock) == 0:
+        if self.leaving and line.idle and waiting(line.sock) == 0:
             line.close()
 
     async def leave(self) -> None:
@@ -330,13 +327,3 @@
         self.listener = None
         for line in list(self.lines):
             line.close()
-
-
-def unread(sock: socket.socket) -> int:
-    """1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
-    try:
-        return 1 if sock.recv(1, socket.MSG_PEEK) else -1
-    except BlockingIOError:
-        return 0
-    except OSError:
-        return -1
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -22,6 +22,7 @@
     Ended,
     Ending,
     FollowRoll,
+    Heard,
     Invocation,
     Note,
     Phase,
@@ -177,7 +178,6 @@
         report: Sequence[float] | None,
     ) -> None:
         took = self.clock() - sent
-        held.out -= 1
         held.shots[number] = None
         self.count(ending.value)
         if ending is Ending.SATISFIED and value is not None and not held.answered:
@@ -190,6 +190,7 @@
         self.turn(self.tell_ended, held, Ended(number, ending, took, False, report))
 
     def tell_ended(self, held: Held, ended: Ended) -> None:
+        held.out -= 1  # only now: until the marshal is told, the number must not be another's
         over = Ended(ended.shot, ended.ending, ended.took, held.answered, ended.report)
         try:
             self.marshal.on_ended(held.number, over)
@@ -205,7 +206,7 @@
         self.nodes.keep({(i, self.register.addresses[i]) for i in self.entries})
 
     def told(self, news: StageNews) -> None:
-        if news.heard is not None and news.build is not None:
+        if news.heard is Heard.COUNTED:
             self.news = news
         self.turn(self.marshal.on_stage_news, news)
 
--- a/gatebank/net/http.py
+++ b/gatebank/net/http.py
@@ -12,6 +12,7 @@
 import httptools
 
 from gatebank.net.launch import Address
+from gatebank.net.sockets import opened
 
 MOST_BODY = 8 * 1024 * 1024  # a roll of some ten thousand nodes
 ROOM = 16 * 1024
@@ -48,9 +49,7 @@
 
     async def open(self) -> socket.socket:
         if not self.sock:
-            family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
-            self.sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.sock = opened(self.address)
             await self.loop.sock_connect(self.sock, self.address)
         return self.sock
 
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -19,6 +19,7 @@
 from gatebank.net import resp
 from gatebank.net.launch import Address
 from gatebank.net.log import say
+from gatebank.net.sockets import give_back, opened, waiting
 
 PING = resp.command([b"PING"])
 Ended = Callable[[Ending, memoryview | None, Sequence[float] | None], None]
@@ -126,11 +127,8 @@
         if self.closed:
             return
         self.closed = True
-        for task in (self.reader, self.writer):
-            if task and task is not asyncio.current_task():
-                task.cancel()
         self.house.drop(self)
-        self.sock.close()
+        give_back(self.sock, self.reader, self.writer)
         while self.shots:
             shot = self.shots.popleft()
             shot.finish(Ending.CUT if shot.written else Ending.NO_CONNECTION)
@@ -181,23 +179,12 @@
         """The last used, unless the node has ended it or is about to."""
         while self.idle:
             line = self.idle.pop()
-            if time.monotonic() - line.idle_since < self.owner.retire_after and still(line.sock):
+            if time.monotonic() - line.idle_since < self.owner.retire_after and waiting(line.sock) == 0:
                 return line
             line.close()
         return None
 
 
-def still(sock: socket.socket) -> bool:
-    """Open, and nothing unasked has come: what has not been read yet shows here."""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        pass
-    return False
-
-
 class Nodes:
     def __init__(self, orders: Mapping[str, Any], most: int) -> None:
         self.loop, self.most = asyncio.get_running_loop(), most
@@ -251,9 +238,7 @@
         where = house.key[1]
         sock = None
         try:
-            family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-            sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock = opened(where)
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, where)
         except BaseException as trouble:
--- /dev/null
+++ b/gatebank/net/sockets.py
@@ -0,0 +1,35 @@
+"""Opening sockets and giving them back, the same way for all who own one."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from gatebank.net.launch import Address
+
+
+def opened(where: Address, kind: int = socket.SOCK_STREAM) -> socket.socket:
+    """A socket of the address's family that blocks nobody and, for a stream, holds no small message back."""
+    family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+    sock = socket.socket(family, kind | socket.SOCK_NONBLOCK)
+    if kind == socket.SOCK_STREAM:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def give_back(sock: socket.socket, *tasks: asyncio.Task[None] | None) -> None:
+    """End who reads and writes, but the caller itself, and only then close."""
+    for task in tasks:
+        if task and task is not asyncio.current_task():
+            task.cancel()
+    sock.close()
+
+
+def waiting(sock: socket.socket) -> int:
+    """1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
+    try:
+        return 1 if sock.recv(1, socket.MSG_PEEK) else -1
+    except BlockingIOError:
+        return 0
+    except OSError:
+        return -1
--- a/gatebank/net/words.py
+++ b/gatebank/net/words.py
@@ -11,6 +11,7 @@
 
 from gatebank import peers
 from gatebank.net.launch import Address
+from gatebank.net.sockets import opened
 
 TURN = 64  # datagrams taken before others get their turn
 
@@ -29,8 +30,7 @@
         self.dropped = 0
         self.loop = asyncio.get_running_loop()
         self.room = bytearray(peers.MOST_BYTES + 1)  # one more shows what is too long
-        family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self.sock = opened(listen, socket.SOCK_DGRAM)
         try:
             self.sock.bind(listen)
         except OSError:
