--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -9,6 +9,7 @@
     sick NODE ...                  these fail from now on; desk ACT ... the same for votes
     call N WORKLOAD LEFT [BYTES]   customer N sends an invocation on its connection
     answer N WHAT                  and gets value, busy, err or end; leave N closes its connection
+    pour N COUNT                   so many of customer N's, whose large answers it does not take
     ask WORKLOAD LEFT WHAT         both, by a customer of its own; burst COUNT WORKLOAD WHAT
     raw "BYTES" "ANSWER"           a customer's bytes at once and byte by byte; the answer begins so
     datagram "BYTES"               to the marshal, from nobody it knows
@@ -179,6 +180,14 @@
         words = [b"Q.ASK" if workload == "read" else b"Q.DO", b"key", b"%032x" % serial, names.encode()]
         writer.write(toy.packed(*words, *([b"b" * int(size)] if int(size) else [])))
 
+    async def do_pour(self, me: int, name: str, number: str) -> None:
+        """So many invocations with large answers, none of which is read."""
+        self.world.plan.extend(["value:60000"] * int(number))
+        reader, _ = await self.customer(me, name)
+        reader._transport.pause_reading()
+        for _ in range(int(number)):
+            await self.do_call(me, name, "read", "1500")
+
     async def do_answer(self, me: int, name: str, *wanted: str) -> None:
         reader, _ = await self.customer(me, name)
         for each in wanted:
