--- a/gatebank/adapter/host.py
+++ b/gatebank/adapter/host.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
-from zlib import crc32
 
 from gatebank import interface as ours
 from gatebank import peers
@@ -189,7 +188,7 @@
         launched = each.get("launched-ms")
         return ours.RollEntry(
             self.node(each["node"]),
-            crc32(each["node"].encode()) & 0xFFFF,
+            peers.mark(each["node"]),
             each.get("generation-hw", 0),
             each.get("region-part", 0),
             each.get("pack", 0),
--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -155,7 +155,7 @@
                     self.take(words)
         except resp.Broken as trouble:
             say("customer_broken", logging.WARNING, why=trouble)
-            self.refuse(str(trouble))
+            self.next_slot().broken_off(str(trouble))
             await self.linger()
         except OSError:
             pass
@@ -176,8 +176,7 @@
 
     def take(self, words: list[memoryview]) -> None:
         name = bytes(words[0][:16]).upper()
-        slot = Slot(self)
-        self.slots.append(slot)
+        slot = self.next_slot()
         self.owner.lines[self] = self.owner.lines.pop(self, None)
         if name == b"PING":
             slot.answer([b"+PONG\r\n"])
@@ -191,10 +190,10 @@
         else:
             slot.broken_off("unknown command")
 
-    def refuse(self, why: str) -> None:
+    def next_slot(self) -> Slot:
         slot = Slot(self)
         self.slots.append(slot)
-        slot.broken_off(why)
+        return slot
 
     def flush(self) -> None:
         """Send the answers whose turn it is."""
--- a/gatebank/net/desk.py
+++ b/gatebank/net/desk.py
@@ -65,7 +65,7 @@
         if status == 200:
             states = [state({field.tag: field.text for field in item}) for item in tree.iter("item")]
             return replace(max(states, key=lambda each: each.build or 0), answers_vote=True)
-        code = tree.findtext(".//Code") or tree.text if tree.tag != "Code" else tree.text
+        code = next((each.text for each in tree.iter("Code")), tree.text)
     except (ParseError, DefusedXmlException, ValueError) as trouble:
         say("desk_unread", logging.WARNING, why=trouble)
         return StageNews(Heard.NO_ANSWER, True)
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -36,7 +36,7 @@
     Vote,
     Wake,
     Withdraw,
-)  # fmt: skip
+)
 from gatebank.net.customers import Asked, Slot
 from gatebank.net.desk import Desk
 from gatebank.net.log import LOG, say
@@ -124,11 +124,15 @@
     def abandon(self, held: Held) -> None:
         """A final answer in the marshal's stead, which then forgets the invocation."""
         if not held.answered:
-            self.count("abandoned")
-            self.answered(held)
             held.slot.broken_off("broken off")
-            self.turn(self.marshal.on_client_left, held.number)
-            self.turn(self.settle, held)
+            self.forget(held, "abandoned")
+
+    def forget(self, held: Held, why: str) -> None:
+        """Nothing is owed for it any more, and the marshal did not decide so."""
+        self.count(why)
+        self.answered(held)
+        self.turn(self.marshal.on_client_left, held.number)
+        self.turn(self.settle, held)
 
     def start(self, known: list[RollEntry] | None, news: StageNews | None) -> None:
         """What a marshal begins with: the roll as it last had it, then the release desk's news."""
@@ -153,10 +157,7 @@
     def customer_left(self, slot: Slot) -> None:
         held = slot.held
         if held and not held.answered:
-            self.count("left")
-            self.answered(held)
-            self.turn(self.marshal.on_client_left, held.number)
-            self.turn(self.settle, held)
+            self.forget(held, "left")
 
     def time_is_up(self, held: Held) -> None:
         """The customer's time limit: what is out ends, and the final answer is still owed."""
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -28,10 +28,10 @@
 class Shot:
     """One shot or probe; ``ended`` is called once, with how it ended and what came."""
 
-    __slots__ = ("done", "ended", "house", "line", "probe", "tries", "written")
+    __slots__ = ("done", "ended", "line", "probe", "tries", "written")
 
-    def __init__(self, house: House, tries: Callable[[], bytes | None], ended: Ended, probe: bool) -> None:
-        self.house, self.tries, self.ended, self.probe = house, tries, ended, probe
+    def __init__(self, tries: Callable[[], bytes | None], ended: Ended, probe: bool) -> None:
+        self.tries, self.ended, self.probe = tries, ended, probe
         self.line: Line | None = None
         self.done = self.written = False  # written: to its last byte
 
@@ -207,8 +207,10 @@
         probe: bool = False,
     ) -> Shot:
         """Begin a shot: ``tries`` gives its bytes when it can be written, None if it is not wanted then."""
-        house = self.houses.setdefault((node, where), House(self, (node, where), name))
-        shot = Shot(house, tries, ended, probe)
+        house = self.houses.get((node, where))
+        if house is None:
+            house = self.houses[node, where] = House(self, (node, where), name)
+        shot = Shot(tries, ended, probe)
         if line := house.take_idle():
             line.write(shot)
         elif self.open < self.most or self.spare():
--- a/gatebank/net/roll.py
+++ b/gatebank/net/roll.py
@@ -9,7 +9,6 @@
 import logging
 from collections.abc import Callable, Mapping
 from typing import Any
-from zlib import crc32
 
 import orjson
 
@@ -17,6 +16,7 @@
 from gatebank.net.http import Caller, Unanswered
 from gatebank.net.launch import Address, Unfit, address
 from gatebank.net.log import say
+from gatebank.peers import mark
 
 WAIT = 2.0  # s a watch may wait: an outage shows this soon; PROTOCOL allows 60
 LATE = 1.0  # s an answer may come after that wait before the connection is held dead
@@ -49,7 +49,7 @@
             self.addresses[node] = address(each["hostPort"], "hostPort")
         return RollEntry(
             node,
-            crc32(name.encode()) & 0xFFFF,
+            mark(name),
             self.kinds.get(each.get("machineType"), 0),
             self.zones.get(each.get("zone"), 0),
             int(each.get("cell") or 0),
--- a/gatebank/peers.py
+++ b/gatebank/peers.py
@@ -19,6 +19,7 @@
 
 import struct
 from dataclasses import dataclass
+from zlib import crc32
 
 HEAD, STEP = struct.Struct("<BHHB"), struct.Struct("<BbHH")
 DOES, ROW, DONE, FLEET = (struct.Struct(form) for form in ("<eeB", "<BeH", "<ee", "<Bff"))
@@ -55,6 +56,11 @@
     done: list[tuple[float, float]]
 
 
+def mark(name: str) -> int:
+    """The number that all marshals have for a node of this name."""
+    return crc32(name.encode()) & 0xFFFF
+
+
 def together(rows: list[Totals]) -> Fleet:
     """The sums of what each does.
 
