--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -19,7 +19,7 @@
     NEVER_RAN, Act, BreakOff, BrokenOff, Condition, Ended, Ending, FollowRoll, Heard, Invocation, Lore, Note,
     Phase, Plain, Probe, Reject, Rejected, Repeats, RollEntry, Shoot, Shot, StageNews, StandingOrders, Tell,
     Verdict, Vote, Wait, Wake, Wish, Withdraw, Word)
-from gatebank.peers import Fleet, Step, Totals, together
+from gatebank.peers import COLD, EARLIER, ON_TRIAL, Fleet, Step, Totals, together
 from gatebank.records import Node, Task, forget, learned
 
 BEAT = 0.25  # s between looks at what only time changes; a quarter of the design's 1 s remainder
@@ -99,6 +99,10 @@
 
 
 class Marshal:
+    # Answers a second of all marshals that make a mean: over the two seconds of a word, as many as the
+    # twenty that make a usual time; exponential times then lie within a quarter of it.
+    LEAST = 10.0
+
     def __init__(self, standing_orders: StandingOrders, seed: int, now: float) -> None:
         chance = Random(seed)
         self.sample, self.random = chance.sample, chance.random
@@ -119,6 +123,7 @@
         # workload, took) and by workload; shots by workload, a window a build.
         self.arrived, self.taken, self.first_tries, self.done = Window(), Window(), Window(), Window()
         self.answers: deque[tuple[float, int, float]] = deque()
+        self.ended: deque[tuple[float, tuple[int, int, int], float, bool]] = deque()
         self.sent_to: dict[int, Window] = {}
         self.stayed: dict[int, int] = {}  # keys bound to a build; emptied when it goes back or another comes
         # Usual times and how many made them: by workload; the earlier build's, by workload and machine kind;
@@ -131,6 +136,10 @@
         self.reports: dict[int, tuple[Totals, float]] = {}  # at fusers: one row a marshal, its last totals
         self.fleet: Fleet | None = None  # what all marshals together do, as a fuser told lately
         self.fleet_at, self.fleet_from, self.beats, self.stuck = 0.0, self.me, self.me, set[int]()
+        # Of all marshals: answers and time by workload; the earlier build's usual times, and how slow the
+        # build on trial is beside them, 0 while not known.
+        self.does, self.beside = list[tuple[float, float]](), 0.0
+        self.usual: dict[tuple[int, int], tuple[float, float]] = {}
         self.news: StageNews | None = None
         self.trial: Trial | None = None
         self.cast: tuple[Trial | None, Verdict] = (None, Verdict.NONE)
@@ -199,7 +208,7 @@
         if fleet:  # own answers against ten of the fleet's: where traffic is thin, those decide
             if workload in self.stuck:  # a few go on, to see when it ends
                 return self.random() > 0.1
-            answers = max(0.5, sum(many for w, (many, _) in enumerate(fleet.done) if w not in self.stuck))
+            answers = max(0.5, sum(many for w, (many, _) in enumerate(self.does) if w not in self.stuck))
             held = (done * held + 5 * fleet.out) / (done + 5)
             out, done = out + 5 * fleet.out / answers, done + 5
         if self.now < self.began + 2.0 or held < 2 * len(self.ready):
@@ -305,6 +314,9 @@
     def age(self, node: Node) -> float:
         return self.now - node.entry.started if node.entry.started else 1e9
 
+    def warm(self, node: Node) -> bool:
+        return self.age(node) >= self.orders["warm_up"] + 1.0
+
     def present(self, node: Node) -> float:  # Rule 4: the least part of its capacity that it can have by now
         start = self.orders["start_capacity"]
         return start + (1 - start) * max(0.0, min(1.0, self.age(node) / self.orders["warm_up"]))
@@ -312,7 +324,7 @@
     def cold_allows(self, node: Node) -> bool:
         """Rule 4, summed over all marshals: half of fall_multiple x its present part of this one's satisfied
         traffic a node, 0.4 of a window's worth at once; below a shot, chance says when the first is due."""
-        if self.age(node) >= self.orders["warm_up"] + 1.0:
+        if self.warm(node):
             return True
         fair = min(self.rate, 0.6 * len(self.answers)) / max(1, len(self.ready))
         allowed = self.orders["fall_multiple"] * self.present(node) * fair  # shots a second
@@ -381,6 +393,9 @@
             self.pace[w] = learned(self.pace[w], took, 0.05)
             self.longest = max(self.longest if self.fleet else 0.0, max(self.pace)[0])
         given_up = ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took > self.pace[w][0]
+        if (ok or given_up) and self.now - took >= self.woke_at:
+            side = (ON_TRIAL if self.on_trial(build) else EARLIER) if self.warm(node) else COLD
+            self.ended.append((self.now, (w, node.entry.kind, side), took, ok))
         if (ok or given_up) and self.now - took >= self.woke_at and self.pace[w][1]:
             was, node.slow = node.slow, node.slow + (took / self.pace[w][0] - node.slow) * 0.2
             self.groups.moved("slow", node, was, node.slow)
@@ -412,18 +427,22 @@
 
     def judge(self, node: Node, build: int, w: int, ending: Ending, took: float) -> None:
         broke, cut, trial = ending is Ending.ERROR, ending is Ending.CUT, self.trial
-        pace, known = self.earlier_pace.get(key := (w, node.entry.kind), (0.0, 0))
+        own = pace, known = self.earlier_pace.get(key := (w, node.entry.kind), (0.0, 0))
+        if known < 20 and key in self.usual:
+            pace, known = self.usual[key][0], 20
         if self.age(node) < 1.0 or (ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took < 3 * pace):
             return  # just started, or given up too early to tell
         on_trial = self.news is not None and self.news.phase is Phase.ON_TRIAL
         earlier = trial is None or build < trial.build
-        warm = self.age(node) >= self.orders["warm_up"] + 1  # a cold node is late whatever it runs
+        warm = self.warm(node)  # a cold node is late whatever it runs
         timed = on_trial and warm and not (broke or cut or w in self.stuck or self.now - took < self.woke_at)
         met = trial is not None and trial.own[0][1] >= min(5, 25 / self.orders["marshals"])  # it gets traffic
         if trial and timed:
             b, middle, slow = trial.build, self.groups.middle, attrgetter("slow")
             mates = middle("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
             others = middle("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
+            # Thin traffic shows a marshal no middle: most nodes it has not met lately. The fleet's word does.
+            mates, others = (self.beside, 1.0) if self.beside else (mates, others)
         if trial and timed and met and (calm := self.calm_pace.get(key)):
             # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
             # (0.7: beyond chance). The middle node must show it, here and below: no neighbour, pause, queue.
@@ -433,7 +452,7 @@
             alike = drag > 1.3 and mates > 0.7 * others and self.load() < 1.35 * self.calm_load
             self.move(Trial.EVERYWHERE, node, alike and took > 2.5 * calm[0])
         if ending is Ending.SATISFIED and warm and (earlier or not on_trial):
-            self.earlier_pace[key] = learned((pace, known), took, 0.02)
+            self.earlier_pace[key] = learned(own, took, 0.02)
         if earlier or not (on_trial or self.saw_trial):
             # What breaks here too from now on is no fault of the trial build; at sick nodes it might hide it.
             late = (Trial.LATE, took > 3 * pace > 0)
@@ -470,9 +489,10 @@
     def tell_totals(self) -> None:
         """The design's remainder, as whole sums, and what this marshal does; to all from the first fuser
         what all do: a marshal with little traffic sees too little of load and times by itself."""
-        trial, here, times = self.trial, (0, 0), [(0.0, 0.0)] * len(self.workloads)
-        for _, w, took in self.answers:  # over two seconds
-            times[w] = times[w][0] + 0.5, times[w][1] + took / 2
+        trial, here, times = self.trial, (0, 0), dict[tuple[int, int, int], tuple[float, float, float]]()
+        for _, key, took, ok in self.ended:  # over two seconds
+            was = times.get(key, (0.0, 0.0, 0.0))
+            times[key] = was[0] + 0.5 * ok, was[1] + 0.5 * took * ok, was[2] + 0.5 * took * (not ok)
         sums = {r: s for r, s in enumerate(trial.own) if s[1]} if trial else {}
         if trial:
             here, trial.unsent = (trial.build, trial.stage), [(0.0, 0)] * len(trial.own)
@@ -486,7 +506,9 @@
 
     def hear_fleet(self, peer: int, word: Fleet) -> None:
         self.fleet, self.fleet_at, self.fleet_from = word, self.now, peer
-        paces = [time / answers if answers else 0.0 for answers, time in word.done]
+        self.does, self.usual = word.by_workload(len(self.workloads)), word.usual(self.LEAST)
+        self.beside = word.slowness(self.usual, self.LEAST)
+        paces = [time / answers if answers else 0.0 for answers, time in self.does]
         self.longest = max([pace for pace, _ in self.pace] + paces) or 1.0
         # Late by itself, another three times as quick: it waits for what no node mends, and shows no load.
         known, least = zip(self.workloads, paces, strict=False), 3 * min(filter(None, paces), default=0.0)
@@ -569,10 +591,12 @@
         self.sent_to = {build: rows for build, rows in self.sent_to.items() if rows}
         self.arrived.forget(self.now - max(2.0, window + 0.1))
         forget(self.answers, self.now - 2.0)
+        forget(self.ended, self.now - 2.0)
         self.done.forget(self.now - 2.0)
         self.first_tries.forget(self.now - 2.0)
         self.rate = len(self.first_tries) / min(2.0, max(1.0, self.now - self.began))
-        self.fleet = self.fleet if self.now < self.fleet_at + 5.0 else None
+        if self.now >= self.fleet_at + 5.0:
+            self.fleet, self.usual, self.beside = None, {}, 0.0
         self.beats += 1
         if self.beats % (4 * max(1, round(self.orders["marshals"] / 200))) == 0:
             self.tell_totals()  # each second, the design's; less often where hundreds would speak
--- a/gatebank/learning/taking.py
+++ b/gatebank/learning/taking.py
@@ -243,7 +243,7 @@
         for item in belief.sums:
             if item.marshal < marshal.orders["marshals"]:
                 fit = {r: row for r, row in item.ratios.items() if 0 <= r < len(marshal.past)}
-                heard.append((item.marshal, Totals(item.life, item.build, item.stage, 0.0, 0.0, [], fit)))
+                heard.append((item.marshal, Totals(item.life, item.build, item.stage, 0.0, 0.0, {}, fit)))
         span = marshal.orders["exposure_window"]
         since = now - marshal.began  # rows of a former life lie before this one began
         return Lore(
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -132,7 +132,7 @@
     def forget(self, held: Held, why: str) -> None:
         """Nothing is owed for it any more, and the marshal did not decide so."""
         self.count(why)
-        self.answered(held)
+        self.answered(held, why)
         self.turn(self.marshal.on_client_left, held.number)
         self.turn(self.settle, held)
 
@@ -193,11 +193,12 @@
         self.count(ending.value)
         if ending is Ending.SATISFIED and value is not None and not held.answered:
             held.slot.satisfied(value)
-            self.answered(held)
+            self.answered(held, "satisfied")
         if LOG.isEnabledFor(logging.DEBUG):
             keys = {"node": self.register.names[node], "workload": held.asked.workload, "took": took}
             build = self.entries[node].build if node in self.entries else None
-            say("shot", logging.DEBUG, ending=ending.value, build=build, **keys)
+            asked = held.asked.id.decode(errors="replace")
+            say("shot", logging.DEBUG, id=asked, ending=ending.value, build=build, **keys)
         self.turn(self.tell_ended, held, Ended(number, ending, took, False, report))
 
     def tell_ended(self, held: Held, ended: Ended) -> None:
@@ -274,13 +275,16 @@
         held = self.held.get(number)
         if held and not held.answered:
             self.count(how)
-            self.answered(held)
+            self.answered(held, how)
             answer(held.slot)
             self.settle(held)
 
-    def answered(self, held: Held) -> None:
+    def answered(self, held: Held, how: str) -> None:
         held.answered = True
         self.ids.discard(held.asked.id)
+        if LOG.isEnabledFor(logging.DEBUG):
+            asked = held.asked.id.decode(errors="replace")
+            say("answered", logging.DEBUG, id=asked, how=how, workload=held.asked.workload, shots=len(held.shots))
         if held.timer:
             held.timer.cancel()
 
