--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -283,8 +283,8 @@
         held.answered = True
         self.ids.discard(held.asked.id)
         if LOG.isEnabledFor(logging.DEBUG):
-            asked = held.asked.id.decode(errors="replace")
-            say("answered", logging.DEBUG, id=asked, how=how, workload=held.asked.workload, shots=len(held.shots))
+            keys = {"workload": held.asked.workload, "shots": len(held.shots)}
+            say("answered", logging.DEBUG, id=held.asked.id.decode(errors="replace"), how=how, **keys)
         if held.timer:
             held.timer.cancel()
 
