--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -79,11 +79,13 @@
                 was, row[ratio] = row.get(ratio, (0.0, 0)), (value, seen)
                 self.fuse(ratio, value - was[0], seen - was[1], getattr(word, "mark", None))
 
-    def verdict(self, now: float, nodes: int) -> Verdict:
+    def verdict(self, now: float, nodes: int, warm: int) -> Verdict:
         """The fused SPRT: back at A, on at -B or by the fallback. A sick machine is no bad build: the worst
-        third counts for A/3 more than the rest at most, two slow of few for A less. Harmful if few fail."""
-        doubts, worst = list(self.sums), (nodes + 1) // 3 if nodes > 1 else 0
+        third (for late, of the warm ones) counts for A/3 more than the rest at most, two slow of few for A
+        less. Harmful if few fail."""
+        doubts = list(self.sums)
         for r, total in enumerate(self.sums):
+            worst = ((warm if r == self.LATE else nodes) + 1) // 3 * (nodes > 1)
             if total >= self.A / 2 and r != self.EVERYWHERE:
                 blame, few = sorted(self.blame[r].values(), reverse=True), max(worst, 2 * (r == self.LATE))
                 over = sum(blame[:few]) - sum(blame[few:]) - self.A / 3
@@ -99,9 +101,7 @@
 
 
 class Marshal:
-    # Answers a second of all marshals that make a mean: over the two seconds of a word, as many as the
-    # twenty that make a usual time; exponential times then lie within a quarter of it.
-    LEAST = 10.0
+    LEAST = 10.0  # answers a second of all marshals that make a mean: twenty in the two that a word covers
 
     def __init__(self, standing_orders: StandingOrders, seed: int, now: float) -> None:
         chance = Random(seed)
@@ -131,15 +131,15 @@
         self.pace, self.longest, self.rate = [(0.0, 0)] * len(self.workloads), 1.0, 0.0
         self.earlier_pace: dict[tuple[int, int], tuple[float, int]] = {}
         self.calm_pace, self.calm_load, self.saw_trial = self.earlier_pace, 0.0, False
+        self.steady = 0.0  # the rate over some five seconds
         # The earlier build's bad outcomes and all, fading, and its share in the last ten or so.
         self.past = [(0.0, 0.0, 0.0)] * (Trial.FIRST + len(self.workloads))
         self.reports: dict[int, tuple[Totals, float]] = {}  # at fusers: one row a marshal, its last totals
         self.fleet: Fleet | None = None  # what all marshals together do, as a fuser told lately
         self.fleet_at, self.fleet_from, self.beats, self.stuck = 0.0, self.me, self.me, set[int]()
-        # Of all marshals: answers and time by workload; the earlier build's usual times, and how slow the
-        # build on trial is beside them, 0 while not known.
+        # Of all: answers and time by workload, usual times, how slow the build on trial is (0: not known).
         self.does, self.beside = list[tuple[float, float]](), 0.0
-        self.usual: dict[tuple[int, int], tuple[float, float]] = {}
+        self.usual = dict[tuple[int, int], tuple[float, float]]()
         self.news: StageNews | None = None
         self.trial: Trial | None = None
         self.cast: tuple[Trial | None, Verdict] = (None, Verdict.NONE)
@@ -168,7 +168,8 @@
                 node = Node(entry)  # a new process, or another machine under the old id
             kept[entry.node], node.entry = node, entry
         self.nodes = {i: node for i, node in kept.items() if node.entry.condition is not Condition.GONE}
-        self.ready = [n for n in self.nodes.values() if n.entry.condition is Condition.READY]
+        alike = sorted(self.nodes.values(), key=lambda n: n.entry.mark)  # at all marshals, for `near`
+        self.ready = [n for n in alike if n.entry.condition is Condition.READY]
         self.groups = Groups(self.ready)
         self.lowest = min((n.entry.build for n in self.nodes.values()), default=0)
 
@@ -356,11 +357,20 @@
 
     def least_busy(self, some: Some) -> Node | None:  # the design's pick: of two at random
         nodes = some.fit or some.nodes
-        two = [n for n in self.sample(nodes, min(2, len(nodes))) if self.cold_allows(n)]
-        if not two:  # look on until one may be sent to
-            two = list(islice(filter(self.cold_allows, self.sample(nodes, len(nodes))), 1))
+        two = list(filter(self.cold_allows, self.near(nodes)))  # or look on until one may be sent to
+        two = two or list(islice(filter(self.cold_allows, self.sample(nodes, len(nodes))), 1))
         return min(two, key=self.busy) if two else None
 
+    def near(self, nodes: list[Node]) -> list[Node]:
+        """Two of those near this marshal's place: as many as it meets twice while an idle connection lives,
+        four at least. New connections cost nodes; even places, so that all together reach all nodes alike."""
+        size, idle = len(nodes), self.orders.get("connection_idle", 1e9)
+        width = max(4.0, self.steady * idle / 4 * size / max(1, len(self.ready)))
+        if width >= size or self.orders["marshals"] * width < 4 * size:
+            return self.sample(nodes, min(2, size))
+        first = int(self.me * 0.618034 % 1.0 * size)  # golden section: any run of numbers is spread
+        return [nodes[(first + at) % size] for at in self.sample(range(int(width)), 2)]
+
     def choose(self, task: Task) -> Node | None:
         key, ran, ready, group = task.invocation.key, task.may_have_run(), self.ready, task.orders["group"]
         if ran and task.orders["repeats"] is Repeats.TICKETED and group != "all":
@@ -394,10 +404,10 @@
             self.longest = max(self.longest if self.fleet else 0.0, max(self.pace)[0])
         given_up = ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took > self.pace[w][0]
         if (ok or given_up) and self.now - took >= self.woke_at:
-            side = (ON_TRIAL if self.on_trial(build) else EARLIER) if self.warm(node) else COLD
+            side = COLD if not self.warm(node) else ON_TRIAL if self.on_trial(build) else EARLIER
             self.ended.append((self.now, (w, node.entry.kind, side), took, ok))
-        if (ok or given_up) and self.now - took >= self.woke_at and self.pace[w][1]:
-            was, node.slow = node.slow, node.slow + (took / self.pace[w][0] - node.slow) * 0.2
+            was, usual = node.slow, self.pace[w][0] or took or 1.0
+            node.slow += (took / usual - was) * 0.2
             self.groups.moved("slow", node, was, node.slow)
 
     def charge(self, node: Node, build: int, w: int, ended: Ended) -> None:  # to its node and build
@@ -441,8 +451,8 @@
             b, middle, slow = trial.build, self.groups.middle, attrgetter("slow")
             mates = middle("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
             others = middle("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
-            # Thin traffic shows a marshal no middle: most nodes it has not met lately. The fleet's word does.
-            mates, others = (self.beside, 1.0) if self.beside else (mates, others)
+            if self.beside:  # thin traffic shows a marshal no middle: most nodes it has not met lately
+                mates, others = self.beside, 1.0
         if trial and timed and met and (calm := self.calm_pace.get(key)):
             # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
             # (0.7: beyond chance). The middle node must show it, here and below: no neighbour, pause, queue.
@@ -595,7 +605,8 @@
         self.done.forget(self.now - 2.0)
         self.first_tries.forget(self.now - 2.0)
         self.rate = len(self.first_tries) / min(2.0, max(1.0, self.now - self.began))
-        if self.now >= self.fleet_at + 5.0:
+        self.steady += (self.rate - self.steady) * max(0.05, BEAT / max(BEAT, self.now - self.began))
+        if self.now >= self.fleet_at + 5.0:  # forgotten
             self.fleet, self.usual, self.beside = None, {}, 0.0
         self.beats += 1
         if self.beats % (4 * max(1, round(self.orders["marshals"] / 200))) == 0:
@@ -610,7 +621,8 @@
         waits = self.now < self.woke_at + BEAT or (rank == len(self.fusers) and not alone)
         if not trial or not news or waits:
             return
-        verdict = trial.verdict(self.now, len(self.groups.builds.get(trial.build, ())))
+        mates, warm_up = self.groups.builds.get(trial.build, ()), self.orders["warm_up"]
+        verdict = trial.verdict(self.now, len(mates), self.groups.warm(mates, self.now, warm_up))
         if verdict is not self.leaning:
             self.leaning, self.leaning_since = verdict, self.now
         standing = self.cast[1] if self.cast[0] is trial else Verdict.NONE
@@ -621,5 +633,5 @@
         self.cast, self.voted = (trial, verdict), self.now
         self.cast_again = self.now + self.orders["vote_timeout"] + 0.2
         self.acts.append(Vote(trial.build, news.stage or 0, verdict))
-        what = f"vote {verdict.name} build {trial.build} stage {news.stage}"
-        self.acts.append(Note(f"{what} sums {[round(total, 1) for total in trial.sums]}"))
+        sums = [round(total, 1) for total in trial.sums]
+        self.acts.append(Note(f"vote {verdict.name} build {trial.build} stage {news.stage} sums {sums}"))
--- a/gatebank/counting/groups.py
+++ b/gatebank/counting/groups.py
@@ -77,10 +77,18 @@
         """The sum of what the fit ones can do: ``present`` is asked of those that are not warm yet, and once
         of a warm one, as all of these are alike. Sums differ from the plain one's by rounding: 1e-12 of
         it."""
-        warmth = self.warmth.get(id(some.fit))
-        if warmth is None:
-            warmth = self.warmth[id(some.fit)] = Warmth(some.fit)
-        return warmth.part(now, warm_after, present)
+        return self.warmth_of(some.fit).part(now, warm_after, present)
+
+    def warm(self, nodes: Sequence[Any], now: float, warm_after: float) -> int:
+        """How many of a list of these are warm; like `part`, it looks again at those alone that are not."""
+        return self.warmth_of(nodes).many(now, warm_after)
+
+    def warmth_of(self, nodes: Sequence[Any]) -> Warmth:
+        """Kept by which list it is: `warm` is asked for one that lives as long as this."""
+        found = self.warmth.get(id(nodes))
+        if found is None:
+            found = self.warmth[id(nodes)] = Warmth(nodes)
+        return found
 
     def middle(
         self, of: str, name: object, fits: Callable[[Any], bool], value: Callable[[Any], float], empty: float
@@ -111,12 +119,14 @@
         self.cold = sorted(started, key=lambda node: node.entry.started, reverse=True)
         self.warm = [node for node in nodes if not node.entry.started][:1] * (len(nodes) - len(started))
 
+    def many(self, now: float, warm_after: float) -> int:
+        while self.cold and now - self.cold[-1].entry.started >= warm_after:
+            self.warm.append(self.cold.pop())
+        return len(self.warm)
+
     def part(self, now: float, warm_after: float, present: Callable[[Any], float]) -> float:
-        cold = self.cold
-        while cold and now - cold[-1].entry.started >= warm_after:
-            self.warm.append(cold.pop())
-        found = len(self.warm) * present(self.warm[0]) if self.warm else 0.0
-        return found + sum(map(present, cold))
+        warm = self.many(now, warm_after)
+        return (warm * present(self.warm[0]) if warm else 0.0) + sum(map(present, self.cold))
 
 
 class Silent:
