--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -123,10 +123,9 @@
         self.groups, self.lowest = Groups([]), 0  # the same by build; the lowest build on the roll
         self.out: dict[tuple[int, int], tuple[Node, int, int]] = {}  # shots out; emptied by endings
         self.silent = Silent()  # the same by node
-        # Emptied by time: arrivals by customer, by workload for the cap, first tries; satisfied shots (when,
-        # workload, took) and by workload; shots by workload, a window a build.
+        # Emptied by time: arrivals by customer, by workload for the cap, first tries; satisfied shots by
+        # workload; ended ones by workload, kind and side, with their time; shots by workload, a window a build.
         self.arrived, self.taken, self.first_tries, self.done = Window(), Window(), Window(), Window()
-        self.answers: deque[tuple[float, int, float]] = deque()
         self.ended: deque[tuple[float, tuple[int, int, int], float, bool]] = deque()
         self.sent_to: dict[int, Window] = {}
         self.stayed: dict[int, int] = {}  # keys bound to a build; emptied when it goes back or another comes
@@ -206,7 +205,7 @@
         second, and the shortest target time must hold. What pays least for its work goes first. Harmful where
         answers come in bursts: so two a node go."""
         workload, fleet = task.invocation.workload, self.fleet
-        done = (len(self.answers) - (self.done.count(*self.stuck) if self.stuck else 0)) / 2.0
+        done = (len(self.done) - (self.done.count(*self.stuck) if self.stuck else 0)) / 2.0
         held = (out := self.shots_out()) * self.orders["marshals"]
         if fleet:  # own answers against ten of the fleet's: where traffic is thin, those decide
             if workload in self.stuck:  # a few go on, to see when it ends
@@ -329,7 +328,7 @@
         traffic a node, 0.4 of a window's worth at once; below a shot, chance says when the first is due."""
         if self.warm(node):
             return True
-        fair = min(self.rate, 0.6 * len(self.answers)) / max(1, len(self.ready))
+        fair = min(self.rate, 0.6 * len(self.done)) / max(1, len(self.ready))
         allowed = self.orders["fall_multiple"] * self.present(node) * fair  # shots a second
         if self.now < node.others[1]:  # others send it more than this marshal's own traffic would tell
             allowed = min(allowed, max(0.0, allowed * self.orders["marshals"] - 2 * node.others[0]))
@@ -400,7 +399,6 @@
         node.seen += 1
         self.silent.ended(node, w)
         if ok and self.now - took >= self.woke_at:  # not out while this marshal stood still
-            self.answers.append((self.now, w, took))
             self.done.add(self.now, w)
             self.pace[w] = learned(self.pace[w], took, 0.05)
             self.longest = max(self.longest if self.fleet else 0.0, max(self.pace)[0])
@@ -601,7 +599,6 @@
             rows.forget(self.now - window - 0.1)
         self.sent_to = {build: rows for build, rows in self.sent_to.items() if rows}
         self.arrived.forget(self.now - max(2.0, window + 0.1))
-        forget(self.answers, self.now - 2.0)
         forget(self.ended, self.now - 2.0)
         self.done.forget(self.now - 2.0)
         self.first_tries.forget(self.now - 2.0)
--- a/gatebank/peers.py
+++ b/gatebank/peers.py
@@ -25,7 +25,7 @@
 
 HEAD, STEP = struct.Struct("<BHHB"), struct.Struct("<BbHH")
 DOES, ROW, DONE, FLEET = (struct.Struct(form) for form in ("<eeB", "<BeH", "<BBeee", "<Bff"))
-IS_STEP, ARE_TOTALS, IS_FLEET = 1, 2, 3
+IS_STEP, ARE_TOTALS, IS_FLEET = 1, 4, 5  # 2 and 3 were these without kind and side: dropped and counted
 MOST_BYTES, MOST = 256, 65000.0  # the largest number in two bytes
 EARLIER, ON_TRIAL, COLD = 0, 1, 2  # sides: an earlier build, the one on trial, any that started just now
 Done = dict[tuple[int, int, int], tuple[float, float, float]]  # by workload, kind and side
