--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -124,7 +124,7 @@
         self.out: dict[tuple[int, int], tuple[Node, int, int]] = {}  # shots out; emptied by endings
         self.silent = Silent()  # the same by node
         # Emptied by time: arrivals by customer, by workload for the cap, first tries; satisfied shots by
-        # workload; ended ones by workload, kind and side, with their time; shots by workload, a window a build.
+        # workload; ended ones by workload, kind and side; shots by workload, a window a build.
         self.arrived, self.taken, self.first_tries, self.done = Window(), Window(), Window(), Window()
         self.ended: deque[tuple[float, tuple[int, int, int], float, bool]] = deque()
         self.sent_to: dict[int, Window] = {}
