--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -79,18 +79,14 @@
                 was, row[ratio] = row.get(ratio, (0.0, 0)), (value, seen)
                 self.fuse(ratio, value - was[0], seen - was[1], getattr(word, "mark", None))
 
-    def verdict(self, now: float, mates: Sequence[Node], warm: Callable[[Node], bool]) -> Verdict:
+    def verdict(self, now: float, nodes: int, warm: int) -> Verdict:
         """The fused SPRT: back at A, on at -B or by the fallback. A sick machine is no bad build: the worst
-        third (of the warm, for late) counts for A/3 more than the rest at most, two slow of few for A less.
-        Past 3 A a third of those as old as the worst: age may turn them bad. Harmful if few fail."""
+        third (for late, of the warm ones) counts for A/3 more than the rest at most, two slow of few for A
+        less. Harmful if few fail."""
         doubts = list(self.sums)
         for r, total in enumerate(self.sums):
+            worst = ((warm if r == self.LATE else nodes) + 1) // 3 * (nodes > 1)
             if total >= self.A / 2 and r != self.EVERYWHERE:
-                first = max(self.blame[r], key=self.blame[r].__getitem__, default=None)
-                old = [(n.entry.started or 0.0) + 1 for n in mates if n.entry.mark == first]
-                old = old[0] if old and total > 3 * self.A else now
-                many = sum((n.entry.started or 0.0) <= old and (r != self.LATE or warm(n)) for n in mates)
-                worst = (many + 1) // 3 * (len(mates) > 1)
                 blame, few = sorted(self.blame[r].values(), reverse=True), max(worst, 2 * (r == self.LATE))
                 over = sum(blame[:few]) - sum(blame[few:]) - self.A / 3
                 doubts[r] -= max(0.0, over if few == worst else min(self.A, over))
@@ -129,7 +125,8 @@
         self.ended: deque[tuple[float, tuple[int, int, int], float, bool]] = deque()
         self.sent_to: dict[int, Window] = {}
         self.stayed: dict[int, int] = {}  # keys bound to a build; emptied when it goes back or another comes
-        # Usual times and how many made them: by workload; the earlier build's, by kind too; before the trial.
+        # Usual times and how many made them: by workload; the earlier build's, by workload and machine kind;
+        # those, and the load, before the build on trial came.
         self.pace, self.longest, self.rate = [(0.0, 0)] * len(self.workloads), 1.0, 0.0
         self.earlier_pace: dict[tuple[int, int], tuple[float, int]] = {}
         self.calm_pace, self.calm_load, self.saw_trial = self.earlier_pace, 0.0, False
@@ -139,7 +136,8 @@
         self.reports: dict[int, tuple[Totals, float]] = {}  # at fusers: one row a marshal, its last totals
         self.fleet: Fleet | None = None  # what all marshals together do, as a fuser told lately
         self.fleet_at, self.fleet_from, self.beats, self.stuck = 0.0, self.me, self.me, set[int]()
-        self.does, self.beside = list[tuple[float, float]](), 0.0  # of all; how slow the trial is, or 0
+        # Of all: answers and time by workload, usual times, how slow the build on trial is (0: not known).
+        self.does, self.beside = list[tuple[float, float]](), 0.0
         self.usual = dict[tuple[int, int], tuple[float, float]]()
         self.news: StageNews | None = None
         self.trial: Trial | None = None
@@ -365,8 +363,8 @@
     def near(self, nodes: list[Node]) -> list[Node]:
         """Two of those near this marshal's place: as many as it meets twice while an idle connection lives,
         four at least. New connections cost nodes; even places, so that all together reach all nodes alike."""
-        size, each = len(nodes), self.orders.get("connection_idle", 1e9) / 4 / max(1, len(self.ready))
-        width = max(4.0, self.steady * each * size)
+        size, idle = len(nodes), self.orders.get("connection_idle", 1e9)
+        width = max(4.0, self.steady * idle / 4 * size / max(1, len(self.ready)))
         if width >= size or self.orders["marshals"] * width < 4 * size:
             return self.sample(nodes, min(2, size))
         first = int(self.me * 0.618034 % 1.0 * size)  # golden section: any run of numbers is spread
@@ -451,7 +449,8 @@
             b, middle, slow = trial.build, self.groups.middle, attrgetter("slow")
             mates = middle("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
             others = middle("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
-            mates, others = (self.beside, 1.0) if self.beside else (mates, others)  # thin traffic shows none
+            if self.beside:  # thin traffic shows a marshal no middle: most nodes it has not met lately
+                mates, others = self.beside, 1.0
         if trial and timed and met and (calm := self.calm_pace.get(key)):
             # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
             # (0.7: beyond chance). The middle node must show it, here and below: no neighbour, pause, queue.
@@ -619,7 +618,8 @@
         waits = self.now < self.woke_at + BEAT or (rank == len(self.fusers) and not alone)
         if not trial or not news or waits:
             return
-        verdict = trial.verdict(self.now, self.groups.builds.get(trial.build, ()), self.warm)
+        mates, warm_up = self.groups.builds.get(trial.build, ()), self.orders["warm_up"]
+        verdict = trial.verdict(self.now, len(mates), self.groups.warm(mates, self.now, warm_up))
         if verdict is not self.leaning:
             self.leaning, self.leaning_since = verdict, self.now
         standing = self.cast[1] if self.cast[0] is trial else Verdict.NONE
@@ -630,5 +630,5 @@
         self.cast, self.voted = (trial, verdict), self.now
         self.cast_again = self.now + self.orders["vote_timeout"] + 0.2
         self.acts.append(Vote(trial.build, news.stage or 0, verdict))
-        sums = f"sums {[round(total, 1) for total in trial.sums]}"
-        self.acts.append(Note(f"vote {verdict.name} build {trial.build} stage {news.stage} {sums}"))
+        sums = [round(total, 1) for total in trial.sums]
+        self.acts.append(Note(f"vote {verdict.name} build {trial.build} stage {news.stage} sums {sums}"))
--- a/gatebank/counting/groups.py
+++ b/gatebank/counting/groups.py
@@ -79,7 +79,12 @@
         it."""
         return self.warmth_of(some.fit).part(now, warm_after, present)
 
+    def warm(self, nodes: Sequence[Any], now: float, warm_after: float) -> int:
+        """How many of a list of these are warm; like `part`, it looks again at those alone that are not."""
+        return self.warmth_of(nodes).many(now, warm_after)
+
     def warmth_of(self, nodes: Sequence[Any]) -> Warmth:
+        """Kept by which list it is: `warm` is asked for one that lives as long as this."""
         found = self.warmth.get(id(nodes))
         if found is None:
             found = self.warmth[id(nodes)] = Warmth(nodes)
