--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -90,9 +90,9 @@
 
 def main() -> None:
     if sys.argv[1:2] != ["serve"]:  # a marshal holds nothing that it does not use
-        from gatebank.commands import capture, keys, learn
+        from gatebank.commands import capture, fleet, keys, learn
 
-        for name, group in (("capture", capture), ("learn", learn), ("keys", keys)):
+        for name, group in (("capture", capture), ("fleet", fleet), ("learn", learn), ("keys", keys)):
             app.add_typer(group.app, name=name)
     app()
 
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -151,6 +151,7 @@
             slot.rejected(None)
             return
         self.ids.add(asked.id)
+        self.count("repeated" if asked.repeated else "first tries")
         number = self.free.pop() if self.free else len(self.held)
         held = Held(number, asked, slot, self.clock() + asked.left)
         self.held[number] = slot.held = held
@@ -224,6 +225,8 @@
     def told(self, news: StageNews) -> None:
         if news.heard is Heard.COUNTED:
             self.news = news
+        if news.answers_vote:
+            self.count(f"vote {news.heard.value}")
         self.turn(self.marshal.on_stage_news, news)
 
     def roll_failed(self) -> None:
@@ -338,6 +341,7 @@
         if entry is None or not self.orders.get("may_probe", False):
             self.probed(node, Ending.NO_CONNECTION)
             return
+        self.count("probes")
         self.nodes.probe(self.key(entry), self.register.names[node], self.patience, ended)
 
     def count(self, what: str) -> None:
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -242,7 +242,7 @@
         # Nodes give values beyond PROTOCOL's 64 KiB: what memory allows is taken, eight of the largest.
         self.most_value = max(resp.MOST_VALUE, buffers // 8)
         self.houses: dict[Key, House] = {}  # emptied as nodes leave the roll
-        self.open = self.peak = 0
+        self.open = self.peak = self.opened = 0  # now, at most, and since the start
         self.opening: set[asyncio.Task[None]] = set()  # each goes when its connection is up or not
         self.connect_timeout = orders.get("connect_timeout", 1.0)
         self.streams = orders.get("shots_per_connection", 1)
@@ -269,6 +269,7 @@
         elif self.open < self.most or self.spare():
             house.waiting.append(shot)
             self.open += 1
+            self.opened += 1
             self.peak = max(self.peak, self.open)
             house.coming += 1
             task = asyncio.ensure_future(self.connect(house, shot))
--- a/gatebank/net/roll.py
+++ b/gatebank/net/roll.py
@@ -139,6 +139,7 @@
     rolled: Callable[[list[RollEntry], bool], None],
     failed: Callable[[], None],
     tries: Tries,
+    count: Callable[[str], None],
 ) -> None:
     """Ask for what is newer than ``version``, for ever."""
     caller, silent = Caller(where), False
@@ -150,6 +151,7 @@
                 target += f"?after={version}&wait_ms={WAIT * 1000:.0f}"
             try:
                 limit = LATE if version is None else WAIT + LATE
+                count("roll calls")
                 status, body = await caller.call("GET", target, limit)
                 if status != 200:
                     raise Refused(f"discovery answered {status}")
@@ -159,6 +161,7 @@
                     say("roll_lost", logging.WARNING, why=trouble)
                     failed()
                 silent = True
+                count("roll refused" if isinstance(trouble, Refused) else "roll unanswered")
                 caller.close()
                 await asyncio.sleep(tries.failed(isinstance(trouble, Refused)))
                 continue
--- a/gatebank/net/service.py
+++ b/gatebank/net/service.py
@@ -61,7 +61,7 @@
         await asyncio.sleep(EVERY)
         nodes.sweep()
         turns += 1
-        if turns % SAID == 0:
+        if turns % SAID == 0 or LOG.isEnabledFor(logging.DEBUG):
             stand(exchange, nodes, customers, others)
 
 
@@ -78,6 +78,9 @@
         node_connections_peak=nodes.peak,
         memory_mb=memory,
         lag=round(exchange.lag, 3),
+        node_connections_opened=nodes.opened,
+        words_told=exchange.words.told if exchange.words else 0,
+        words_heard=exchange.words.taken if exchange.words else 0,
         words_dropped=exchange.words.dropped if exchange.words else 0,
         **counts,
         **{name: value for each in others if each for name, value in each.standing().items()},
@@ -109,9 +112,8 @@
         exchange, work = self.exchange, dict[str, Callable[[], Awaitable[None]]]()
         if where := posting.roll:
             tries = Tries(exchange.orders, Random(f"{posting.seed} roll"))
-            work["roll"] = lambda: follow(
-                where, self.register, version, exchange.rolled, exchange.roll_failed, tries
-            )
+            told = (exchange.rolled, exchange.roll_failed, tries, exchange.count)
+            work["roll"] = lambda: follow(where, self.register, version, *told)
         self.desk.where = posting.desk  # votes in hand end where they were cast
         if posting.desk:
             work["desk"] = self.desk.follow
--- a/gatebank/net/words.py
+++ b/gatebank/net/words.py
@@ -27,7 +27,7 @@
     ) -> None:
         self.marshals, self.to_all, self.me, self.heard = marshals, to_all, me, heard
         self.numbers = {where: number for number, where in enumerate(marshals)}
-        self.dropped = 0
+        self.told = self.taken = self.dropped = 0  # datagrams since the start
         self.loop = asyncio.get_running_loop()
         self.room = bytearray(peers.MOST_BYTES + 1)  # one more shows what is too long
         self.sock = opened(listen, socket.SOCK_DGRAM)
@@ -48,6 +48,7 @@
             targets = [where for number, where in enumerate(self.marshals) if number != self.me]
         for where in targets if len(data) <= peers.MOST_BYTES else ():
             try:
+                self.told += 1
                 self.sock.sendto(data, where)
             except OSError:  # lost, as a datagram may be
                 self.dropped += 1
@@ -65,6 +66,7 @@
             if number is None or word is None:
                 self.dropped += 1
             elif number != self.me:
+                self.taken += 1
                 self.heard(number, word)
 
     def close(self) -> None:
