--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -107,7 +107,8 @@
         chance = Random(seed)
         self.sample, self.random = chance.sample, chance.random
         self.orders, self.workloads = standing_orders, standing_orders["workloads"]
-        self.present_time, self.woke_at, self.began = now, 0.0, now
+        # What is sent as it starts is not timed: its clock may stand until it has caught up with that start.
+        self.present_time, self.woke_at, self.began = now, now + BEAT, now
         self.me, marshals, self.life = self.orders["me"], self.orders["marshals"], chance.getrandbits(16)
         needed = max(standing_orders.get("on_votes", 1), standing_orders.get("back_votes", 1))
         self.fusers = range(min(max(3, needed), marshals))  # the design's three, more where votes need them
@@ -442,8 +443,9 @@
             return  # just started, or given up too early to tell
         on_trial = self.news is not None and self.news.phase is Phase.ON_TRIAL
         earlier = trial is None or build < trial.build
-        warm = self.warm(node)  # a cold node is late whatever it runs
-        timed = on_trial and warm and not (broke or cut or w in self.stuck or self.now - took < self.woke_at)
+        # A cold node is late whatever it runs, and a marshal that stood still knows no times.
+        warm = self.warm(node) and self.now - took >= self.woke_at
+        timed = on_trial and warm and not (broke or cut or w in self.stuck)
         met = trial is not None and trial.own[0][1] >= min(5, 25 / self.orders["marshals"])  # it gets traffic
         if trial and timed:
             b, middle, slow = trial.build, self.groups.middle, attrgetter("slow")
@@ -451,7 +453,8 @@
             others = middle("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
             if self.beside:  # thin traffic shows a marshal no middle: most nodes it has not met lately
                 mates, others = self.beside, 1.0
-        if trial and timed and met and (calm := self.calm_pace.get(key, (0.0, 0))[0]):
+        calm = self.calm_pace.get(key, (0.0, 0))[0] * (ending is Ending.SATISFIED)  # silence is not slowness
+        if trial and timed and met and calm:
             # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
             # (0.7: beyond chance). The middle node must show it, here and below: no neighbour, pause, queue.
             was, node.drag = node.drag, learned(node.drag, took / calm, 0.15)
