--- a/gatebank/commands/fleet.py
+++ b/gatebank/commands/fleet.py
@@ -5,7 +5,7 @@
 import json
 import re
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
@@ -25,7 +25,7 @@
     "satisfied", "error", "turned_away", "no_connection", "cut", "timed_out", "withdrawn", "not_sent",
     "node_connections_opened", "probes", "roll_calls", "roll_refused", "roll_unanswered",
     "words_told", "words_heard", "words_dropped",
-    "vote_counted", "vote_full", "vote_moot", "vote_failed", "vote_no_answer",
+    "vote_counted", "vote_too_many", "vote_moot", "vote_failed", "vote_no_answer",
 )  # fmt: skip
 
 
@@ -93,8 +93,8 @@
     return keys if "event" in keys else None
 
 
-def logs(folder: Path) -> Iterator[Path]:
-    return iter(sorted(path for path in folder.glob("*.log") if path.is_file()))
+def logs(folder: Path) -> list[Path]:
+    return sorted(path for path in folder.glob("*.log") if path.is_file())
 
 
 def tally(folder: Path) -> Tally:
@@ -113,7 +113,7 @@
 ) -> None:
     """What the marshals counted together, by time since the first of them counted. Standing lines come every
     10 s, every second with `serve --log-level debug`; what lies between two is spread evenly."""
-    if not folder.is_dir() or not any(logs(folder)):
+    if not logs(folder):
         typer.echo(f"gatebank: {folder}: no folder with NAME.log files", err=True)
         raise typer.Exit(2)
     found = tally(folder)
