--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -13,13 +13,14 @@
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from hashlib import blake2b
+from math import inf
 from typing import Any, Protocol
 
 from gatebank.interface import Repeats
 from gatebank.net import resp
 from gatebank.net.launch import Address, Bounds
 from gatebank.net.log import say
-from gatebank.net.sockets import Record, give_back, opened, waiting
+from gatebank.net.sockets import Pending, Record, give_back, hung_up, opened, waiting
 
 IN_HAND = 64  # commands of a connection before it is read on
 LOOK = 0.1  # s between looks at the clocks below
@@ -34,6 +35,10 @@
 STALL = 10.0  # s without taking a byte of an answer
 BACKLOG = 1024
 NOTICED = 0.45  # s after SIGTERM: until 0.4 s new connections go on coming (PROTOCOL)
+# SIGKILL comes no sooner after SIGTERM than the longest time limit, counted as so long at most, and then
+# LAST_CALL s; what comes later than LAST_CALL and is unanswered then is lost (PROTOCOL).
+LONGEST, LAST_CALL = 3.0, 0.7
+PARTING = 0.5  # s before that in which a connection that was never idle is read no more: twice LINGER
 KNOWN = frozenset(("c", "t", "d", "k", "r", "h"))
 FORMS = ((b"Q.DO", 5), (b"Q.ASK", 4))  # the command and its words: for others, and for rerunnable ones
 MOST_LEFT = 3_600_000  # ms: beyond an hour nobody waits for an answer
@@ -159,6 +164,8 @@
         self.since = owner.loop.time()  # it came, had its last answer, or could not be read on
         self.begun = self.came = 0.0  # since when a part of a command is held, and when its last bytes came
         self.spoke = self.ending = self.closed = False  # a whole command came; nothing more is read
+        self.reading = Pending()
+        self.handling = False  # a read has ended, and not all whole commands of it are taken yet
         self.senseless = 0  # commands in a row
         self.tape = owner.record(sock) if owner.record else None
         self.free = asyncio.Event()
@@ -169,13 +176,20 @@
     def idle(self) -> bool:
         return not self.slots and not self.rest
 
+    def unread(self) -> bool:
+        """Bytes that may hold a whole command wait: in the kernel, in a read that ended before its task went
+        on, or in the buffer behind what is in hand. A close would lose what has been taken."""
+        return self.handling or self.reading.done or waiting(self.sock) != 0
+
     async def read(self) -> None:
         inbox, loop = self.inbox, self.owner.loop
         try:
             while True:
-                size = await loop.sock_recv_into(self.sock, inbox.room())
+                size = await self.reading.of(loop.sock_recv_into(self.sock, inbox.room()))
                 if not size:
+                    self.departed()
                     break
+                self.handling = True
                 inbox.filled(size)
                 if self.tape:
                     self.tape.asked(bytes(inbox.data[inbox.end - size : inbox.end]))
@@ -190,6 +204,7 @@
                         await asyncio.sleep(PAUSE * self.senseless)
                 self.came = loop.time()
                 self.begun = (self.begun if not taken and self.begun else self.came) if inbox.held else 0.0
+                self.handling = False
                 if taken != 1:  # more may wait: a read that finds bytes does not let others have their turn
                     await asyncio.sleep(0)
         except resp.Broken as trouble:
@@ -197,19 +212,38 @@
         except OSError:
             pass
         finally:
+            self.handling = False
             if not self.ending:
                 self.close()
 
+    def departed(self) -> None:
+        """The customer has closed its connection, or ended its sending on it: TCP does not tell which. It has
+        gone (PROTOCOL): nothing more is sent for what is in hand; if it still reads, it has its answers."""
+        for slot in list(self.slots):
+            self.owner.door.customer_left(slot)
+            if slot.parts is None:
+                slot.broken_off("its connection ended")
+        self.close()
+
     def end(self, why: str) -> None:
         """One error line behind what is in hand; then nothing more is read, and `look` closes."""
         self.owner.broken(why)
         self.ending, self.since = True, self.owner.loop.time()
         self.next_slot().broken_off(why)
 
+    def stop(self) -> None:
+        """Nothing more is read, and `look` closes: what waits unread is sent again by its customer."""
+        self.ending, self.since = True, self.owner.loop.time()
+        self.reader.cancel()
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def look(self, now: float, crowded: bool) -> None:
         """What time alone brings about."""
-        if self.ending and self.idle:
-            if now - self.since >= LINGER:
+        if (self.handling or self.ending) and self.slots and hung_up(self.sock):
+            self.departed()  # it is not being read, so that nobody else sees the end
+        elif self.ending and self.idle:
+            if now - self.since >= LINGER:  # so that the error line is read, or the end seen
                 self.close()
         elif self.ending:
             if now - self.since >= SETTLED:  # its error line is due: what is in hand gets its final answer
@@ -220,12 +254,12 @@
                     self.close()
         elif self.begun:
             late = now - self.came >= HALF or now - self.begun >= WHOLE
-            if late and waiting(self.sock) == 0:
+            if late and not self.unread():
                 self.end("a command stopped half way")
                 self.reader.cancel()
         elif self.idle:
             limit = HALF if not self.spoke else IDLE_CROWDED if crowded else IDLE
-            if now - self.since >= limit and waiting(self.sock) == 0:
+            if now - self.since >= limit and not self.unread():
                 self.close()
 
     def take(self, words: list[memoryview]) -> None:
@@ -238,7 +272,10 @@
             elif name in (b"Q.ASK", b"Q.DO"):
                 asked = Asked(words, self.owner.workloads, self.owner.customers)
                 slot.mark = asked.id
-                self.owner.door.invoked(asked, slot)
+                if self.owner.time_left() < asked.left:  # it might meet SIGKILL; so far it has run nowhere
+                    slot.rejected(None)
+                else:
+                    self.owner.door.invoked(asked, slot)
             else:
                 raise Senseless("unknown command")
             self.senseless = 0
@@ -351,6 +388,10 @@
         # A row a connection, the longest unused first; each goes with `Line.close`.
         self.lines: dict[Line, None] = {}
         self.owed, self.peak, self.leaving = 0, 0, False
+        self.told_at: float | None = None  # when SIGTERM came
+        limits = [min(LONGEST, each.get("time_limit", LONGEST)) for each in orders["workloads"]]
+        self.last = LAST_CALL + max(limits, default=LONGEST)
+        self.accepting, self.acceptor = Pending(), None  # the task that accepts
         self.unread, self.said_at = 0, -1.0  # connections that sent what is no command; when last told
         self.listener: socket.socket | None = None
 
@@ -361,9 +402,10 @@
         self.listener.listen(BACKLOG)
 
     async def accept(self) -> None:
+        self.acceptor = asyncio.current_task()
         while self.listener:
             try:
-                sock, _ = await self.loop.sock_accept(self.listener)
+                sock, _ = await self.accepting.of(self.loop.sock_accept(self.listener))
             except OSError as trouble:
                 say("accept_failed", logging.WARNING, why=trouble)
                 await asyncio.sleep(0.05)
@@ -393,16 +435,16 @@
         asked once with: of those idle the longest unused go, so that others still find a connection."""
         idle = [line for line in self.lines if line.idle and line.spoke and not line.ending]
         for line in idle[: max(0, len(idle) - self.most // 3)]:  # a third of ours: a sixth of the descriptors
-            if waiting(line.sock) == 0:
+            if not line.begun and not line.unread():
                 line.close()
 
-    def spare(self, newest: Line) -> bool:
+    def spare(self, newest: Line | None) -> bool:
         """Make room: first who can't be read or has had time to speak and did not, as those that only connect
         must not take the place of the usual ones; then the longest idle, but never the newest."""
         now, idle = self.loop.time(), [line for line in self.lines if line.idle and line is not newest]
         mute = [line for line in idle if line.ending or (not line.spoke and now - line.since >= FRESH)]
         spoke = [line for line in idle if line.spoke and not line.ending]
-        line = next((line for line in mute + spoke if line.ending or waiting(line.sock) == 0), None)
+        line = next((line for line in mute + spoke if line.ending or not line.unread()), None)
         if line:
             line.close()
         return line is not None
@@ -420,27 +462,54 @@
 
     def settle(self, line: Line) -> None:
         """An answer is out: while this marshal leaves, a line ends when it is idle."""
-        if self.leaving and line.idle and not line.begun and waiting(line.sock) == 0:
-            line.close()
+        if not self.leaving or not line.idle or line.ending:
+            return
+        if not line.begun and not line.unread():
+            if line.spoke or self.loop.time() - line.since >= FRESH:  # it has just come, and may be about to
+                line.close()
+        elif self.time_left() < PARTING and not line.handling and not line.reading.done:
+            line.stop()
+
+    def time_left(self) -> float:
+        """Until SIGKILL may come; no end is in sight before SIGTERM."""
+        return inf if self.told_at is None else self.told_at + self.last - self.loop.time()
 
     async def leave(self) -> None:
         """SIGTERM: serve on until nobody sends anew, then close each connection as it becomes idle."""
+        self.told_at = self.loop.time()
         await asyncio.sleep(NOTICED)
-        if listener := self.listener:
-            self.listener = None
-            try:
-                while True:  # what the machine has accepted, the marshal has taken
-                    self.welcome(listener.accept()[0])
-            except OSError:
-                pass
-            listener.close()
+        await self.shut()
         self.leaving = True
         while self.lines:
             for line in list(self.lines):
                 self.settle(line)
             await asyncio.sleep(0.02)
 
+    async def shut(self) -> None:
+        """Close the listener. What the machine has accepted, the marshal has taken. The task that accepts ends
+        first, as the socket stays open for as long as the loop waits for it, unless it has a connection that it
+        did not see yet. Where descriptors are short, room is made, or waited for."""
+        listener, self.listener = self.listener, None
+        if not listener:
+            return
+        if self.acceptor and not self.accepting.done:
+            self.acceptor.cancel()
+        until = self.loop.time() + HALF
+        while self.loop.time() < until:
+            try:
+                self.welcome(listener.accept()[0])
+            except BlockingIOError:
+                break
+            except ConnectionAbortedError:
+                continue
+            except OSError:  # no descriptor
+                if not self.spare(None):
+                    await asyncio.sleep(0.01)
+        listener.close()
+
     def close(self) -> None:
+        if self.acceptor:
+            self.acceptor.cancel()
         if self.listener:
             self.listener.close()
         self.listener = None
--- a/gatebank/net/sockets.py
+++ b/gatebank/net/sockets.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine, Generator
+from types import coroutine
+from typing import Any, Protocol
 
 from gatebank.net.launch import Address
 
@@ -38,6 +40,47 @@
     sock.close()
 
 
+class Pending:
+    """An operation on a socket that a task waits for. The loop ends it as the socket becomes ready, but the
+    task goes on only later, and what runs in between finds nothing in the kernel any more: a read may have
+    brought a whole command, an accept a connection. ``done`` tells so. One at a time."""
+
+    __slots__ = ("future",)
+
+    def __init__(self) -> None:
+        self.future: asyncio.Future[Any] | None = None
+
+    @property
+    def done(self) -> bool:
+        """It has ended, and its task has not gone on yet."""
+        return self.future is not None and self.future.done()
+
+    @coroutine
+    def of(self, operation: Coroutine[Any, Any, Any]) -> Generator[Any, Any, Any]:
+        """Await it: what it waits for is handed on, and kept in sight."""
+        steps = operation.__await__()
+        try:
+            self.future = steps.send(None)
+            while True:
+                try:
+                    found = yield self.future
+                except BaseException as trouble:
+                    self.future = steps.throw(trouble)
+                else:
+                    self.future = steps.send(found)
+        except StopIteration as ended:
+            return ended.value
+        finally:
+            self.future = None
+
+
+def hung_up(sock: socket.socket) -> bool:
+    """The other side has ended its sending or the connection is broken, whatever lies unread before that."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 def waiting(sock: socket.socket) -> int:
     """1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
     try:
