--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -2,8 +2,7 @@
 
 A front (types: interface.py, peers.py) makes one Marshal for each marshal, sets its `now`, calls its on_
 method for each event and carries out what it then finds in `acts`. Each invocation is the generator `serve`:
-it yields Shot, Wait, Rejected or BrokenOff and is resumed with a shot's ending, or None when its patience is
-out. Times are seconds. Why things are so: docs/design.md.
+it yields a Wish and is resumed with a shot's ending, or None after its patience. Why so: docs/design.md.
 """
 
 from collections import deque  # noqa: I001
@@ -106,14 +105,13 @@
     def __init__(self, standing_orders: StandingOrders, seed: int, now: float) -> None:
         chance = Random(seed)
         self.sample, self.random = chance.sample, chance.random
-        self.orders, self.workloads = standing_orders, standing_orders["workloads"]
+        self.orders, self.workloads, told = standing_orders, standing_orders["workloads"], standing_orders.get
         # What is sent as it starts is not timed: its clock may stand until it has caught up with that start.
         self.present_time, self.woke_at, self.began = now, now + BEAT, now
         self.me, marshals, self.life = self.orders["me"], self.orders["marshals"], chance.getrandbits(16)
-        needed = max(standing_orders.get("on_votes", 1), standing_orders.get("back_votes", 1))
+        needed = max(told("on_votes", 1), told("back_votes", 1))
         self.fusers = range(min(max(3, needed), marshals))  # the design's three, more where votes need them
-        self.acts: list[Act] = [FollowRoll()] if self.orders.get("roll_mode") == "ask" else []
-        self.acts.append(Wake(now + BEAT, "beat"))
+        self.acts: list[Act] = [FollowRoll()] * (told("roll_mode") == "ask") + [Wake(now + BEAT, "beat")]
         self.nodes: dict[int, Node] = {}  # as the roll has them
         self.ready: list[Node] = []  # those that may be sent to
         self.tasks: dict[int, Task] = {}
@@ -126,12 +124,11 @@
         self.ended: deque[tuple[float, tuple[int, int, int], float, bool]] = deque()
         self.sent_to: dict[int, Window] = {}
         self.stayed: dict[int, int] = {}  # keys bound to a build; emptied when it goes back or another comes
-        # Usual times and how many made them: by workload; the earlier build's, by workload and machine kind;
-        # those, and the load, before the build on trial came.
-        self.pace, self.longest, self.rate = [(0.0, 0)] * len(self.workloads), 1.0, 0.0
+        # Usual times and how many made them: by workload (and rates, now and steady: over some five seconds);
+        # the earlier build's, by workload and machine kind; those, and the load, before that on trial came.
+        self.pace, self.longest, self.rate, self.steady = [(0.0, 0)] * len(self.workloads), 1.0, 0.0, 0.0
         self.earlier_pace: dict[tuple[int, int], tuple[float, int]] = {}
         self.calm_pace, self.calm_load, self.saw_trial = self.earlier_pace, 0.0, False
-        self.steady = 0.0  # the rate over some five seconds
         # The earlier build's bad outcomes and all, fading, and its share in the last ten or so.
         self.past = [(0.0, 0.0, 0.0)] * (Trial.FIRST + len(self.workloads))
         self.reports: dict[int, tuple[Totals, float]] = {}  # at fusers: one row a marshal, its last totals
@@ -192,11 +189,11 @@
             elif may_send and self.now < task.came + task.orders["target_time"]:
                 yield Wait(0.1)  # none may take it now: the roll or a cold one's budget may mend it
             else:
-                # Rule 2: rejected only where running again does no harm.
-                repeats, to_all = task.orders["repeats"], task.orders["group"] == "all"
-                harmless = repeats is Repeats.RERUNNABLE or (to_all and repeats is Repeats.TICKETED)
+                # Rule 2: rejected only where running again does no harm: not past a ticket's window.
+                ran, anywhere = task.may_have_run(), task.orders["group"] == "all"
+                anywhere = anywhere or task.orders["repeats"] is Repeats.RERUNNABLE
                 rejected = Rejected(0.5 if self.orders["may_say_back_in"] else None)
-                yield rejected if harmless or not task.may_have_run() else BrokenOff()
+                yield rejected if not ran or (anywhere and self.may_run(task, ran)) else BrokenOff()
                 return
 
     def too_much(self, task: Task) -> bool:
@@ -225,13 +222,21 @@
         return out > bound
 
     def may_send(self, task: Task) -> bool:  # Rule 2, and the number of shots
-        ran = task.may_have_run()
-        if len(task.shots) >= self.orders["most_shots"] or self.now >= task.deadline() - 0.01:
-            return False
-        if not ran or task.orders["repeats"] is Repeats.RERUNNABLE:
-            return True
-        ticketed = task.orders["repeats"] is Repeats.TICKETED  # only these are sure to have a window
-        return ticketed and self.now < ran[0][1] + task.orders["window"] - 0.05
+        may = len(task.shots) < self.orders["most_shots"] and self.now < task.deadline() - 0.01
+        return may and self.may_run(task, task.may_have_run())
+
+    def may_run(self, task: Task, ran: Sequence[tuple[Node, float]]) -> bool:  # Rule 2: behind these
+        how, since = task.orders["repeats"], ran[0][1] if ran else 0.0  # only ticketed ones have a window
+        kept = how is Repeats.TICKETED and self.now < since + task.orders["window"] - 0.05
+        return not ran or how is Repeats.RERUNNABLE or kept
+
+    def still(self, number: int, shot: int) -> bool:
+        """A shot waited for its connection: what it was chosen on may have passed. Rule 5 counts it anew."""
+        (_, build, w), task = self.out[number, shot], self.tasks[number]
+        may = self.may_run(task, task.may_have_run()[:-1])
+        if may := may and (not self.on_trial(build) or self.cap_allows(task, build, 0)):
+            self.sent_to.setdefault(build, Window()).again(task.shots[shot][1], w, self.now)
+        return may
 
     def resume(self, task: Task, result: Ended | None) -> None:
         number, wish = task.invocation.number, task.story.send(result)
@@ -297,12 +302,11 @@
             return bool(self.nodes) and self.lowest < build
         return build > self.news.build or (build == self.news.build and self.news.phase is not Phase.RELEASED)
 
-    def cap_allows(self, task: Task, build: int) -> bool:  # Rule 5: own sliding count against the cap
-        orders, news, w = self.orders, self.news, task.invocation.workload
+    def cap_allows(self, task: Task, build: int, more: int = 1) -> bool:  # Rule 5: own count in its window
+        orders, news, w, how = self.orders, self.news, task.invocation.workload, task.orders["repeats"]
         told = news if news is not None and news.build == build else None
         cap, stage = (told.cap, told.stage) if told else (orders["caps"][0], 0)
-        shielded = stage < orders.get("shielded_stages", 0)
-        if not cap or (shielded and task.orders["repeats"] is not Repeats.RERUNNABLE):
+        if not cap or (how is not Repeats.RERUNNABLE and stage < orders.get("shielded_stages", 0)):
             return False
         all_count, after = orders["counted_by"] != "per_lane", self.now - orders["exposure_window"]
         sent, kinds = self.sent_to.setdefault(build, Window()), () if all_count else (w,)
@@ -310,7 +314,7 @@
         self.taken.forget(after, with_edge=True)
         shots, taken = sent.count(*kinds), self.taken.count(*kinds)
         # Where a former life's shots in this window are not known, it may have used all that was spare.
-        return shots + 1 <= (orders["spare_shots"] if self.now >= self.strict_until else 0) + cap * taken
+        return shots + more <= (orders["spare_shots"] if self.now >= self.strict_until else 0) + cap * taken
 
     def age(self, node: Node) -> float:
         return self.now - node.entry.started if node.entry.started else 1e9
@@ -394,8 +398,8 @@
 
     def learn(self, node: Node, build: int, w: int, ended: Ended) -> None:  # of its node and the usual times
         ending, took, ok = ended.ending, ended.took, ended.ending is Ending.SATISFIED
-        node.held, node.silent_since, node.told_at = node.held - 1, self.now, self.now
-        node.seen += 1
+        node.silent_since = node.told_at = self.now
+        node.held, node.seen = node.held - 1, node.seen + 1
         self.silent.ended(node, w)
         if ok and self.now - took >= self.woke_at:  # not out while this marshal stood still
             self.done.add(self.now, w)
@@ -437,8 +441,7 @@
     def judge(self, node: Node, build: int, w: int, ending: Ending, took: float) -> None:
         broke, cut, trial = ending is Ending.ERROR, ending is Ending.CUT, self.trial
         own = pace, known = self.earlier_pace.get(key := (w, node.entry.kind), (0.0, 0))
-        if known < 20 and key in self.usual:
-            pace, known = self.usual[key][0], 20
+        pace, known = (self.usual[key][0], 20) if known < 20 and key in self.usual else (pace, known)
         if self.age(node) < 1.0 or (ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took < 3 * pace):
             return  # just started, or given up too early to tell
         on_trial = self.news is not None and self.news.phase is Phase.ON_TRIAL
@@ -600,10 +603,9 @@
         for rows in (self.taken, *self.sent_to.values()):
             rows.forget(self.now - window - 0.1)
         self.sent_to = {build: rows for build, rows in self.sent_to.items() if rows}
-        self.arrived.forget(self.now - max(2.0, window + 0.1))
         forget(self.ended, self.now - 2.0)
-        self.done.forget(self.now - 2.0)
-        self.first_tries.forget(self.now - 2.0)
+        for rows, age in ((self.arrived, max(2.0, window + 0.1)), (self.done, 2.0), (self.first_tries, 2.0)):
+            rows.forget(self.now - age)
         self.rate = len(self.first_tries) / min(2.0, max(1.0, self.now - self.began))
         self.steady += (self.rate - self.steady) * max(0.05, BEAT / max(BEAT, self.now - self.began))
         if self.now >= self.fleet_at + 5.0:  # forgotten
--- a/gatebank/counting/windows.py
+++ b/gatebank/counting/windows.py
@@ -36,6 +36,19 @@
         self.rows.append((at, kind))
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
+    def again(self, at: float, kind: Hashable, now: float) -> None:
+        """The row of that time counts as one of now. It is looked for: for what happens seldom.
+
+        >>> window = Window()
+        >>> window.add(1.0, "a"), window.again(1.0, "a", 2.0), window.forget(1.5), window.count("a")
+        (None, None, None, 1)
+        """
+        try:
+            self.rows.remove((at, kind))
+        except ValueError:  # it is gone with its time
+            self.counts[kind] = self.counts.get(kind, 0) + 1
+        self.rows.append((now, kind))
+
     def put_before(self, rows: Iterable[tuple[float, Hashable]]) -> None:
         """Rows older than all here, in any order."""
         for at, kind in sorted(rows, key=lambda row: row[0], reverse=True):
--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -486,9 +486,9 @@
             await asyncio.sleep(0.02)
 
     async def shut(self) -> None:
-        """Close the listener. What the machine has accepted, the marshal has taken. The task that accepts ends
-        first, as the socket stays open for as long as the loop waits for it, unless it has a connection that it
-        did not see yet. Where descriptors are short, room is made, or waited for."""
+        """Close the listener. What the machine has accepted, the marshal has taken. The task that accepts
+        ends first, as the socket stays open for as long as the loop waits for it, unless it has a connection
+        that it did not see yet. Where descriptors are short, room is made, or waited for."""
         listener, self.listener = self.listener, None
         if not listener:
             return
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -44,6 +44,7 @@
 from gatebank.net.roll import Register
 from gatebank.net.words import Words
 
+AT_ONCE = 0.01  # s that a shot is written in where it need not wait for a connection
 ROW = 2048  # bytes an invocation in hand takes besides, about
 
 
@@ -319,7 +320,13 @@
             listed, late = self.entries.get(node), self.clock()
             fits = listed is entry or (listed and listed.build == entry.build)
             ready = fits and listed.condition is Condition.READY and self.cap(entry.build) >= cap
-            return held.asked.command(end - late) if ready and not held.answered and late < end else None
+            if not ready or held.answered or late >= end:
+                return None
+            if late > now + AT_ONCE:
+                self.marshal.now = late
+                if not self.marshal.still(held.number, number):
+                    return None
+            return held.asked.command(end - late)
 
         def ended(ending: Ending, value: memoryview | None, report: Sequence[float] | None) -> None:
             self.shot_ended(held, number, node, now, ending, value, report)
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -19,11 +19,13 @@
 from gatebank.net import resp
 from gatebank.net.launch import Address
 from gatebank.net.log import say
-from gatebank.net.sockets import Record, give_back, opened, waiting
+from gatebank.net.sockets import Pending, Record, give_back, opened, waiting
 
 PING = resp.command([b"PING"])
-# s a connection rests after an answer: a second copy of it, sent right behind, shows before the next shot.
-SETTLE = 0.002
+# s a connection rests after an answer: a second one, which may come some milliseconds late (STANDING), would
+# be taken for that to the next shot. Harmful where a node gets more than some tens of shots a second from one
+# marshal, and connections are dear.
+REST = 0.02
 Key = tuple[int, Address, int, float | None]  # node, where it listens, build, start
 Ended = Callable[[Ending, memoryview | None, Sequence[float] | None], None]
 
@@ -40,7 +42,7 @@
         self.mark = mark  # for a recording: which shot of which invocation
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None  # its own limit; goes with its end
-        self.done = self.written = False  # written: to its last byte
+        self.done = self.written = False  # written: to its last byte, or that is on its way
 
     def finish(
         self, ending: Ending, value: memoryview | None = None, report: Sequence[float] | None = None
@@ -66,6 +68,9 @@
         self.house, self.sock = house, sock
         self.shots: deque[Shot] = deque()  # in the order written; emptied by answers, or by `close`
         self.idle_since = time.monotonic()
+        self.rests_until = 0.0  # it has answered, and may do so twice
+        self.reading = Pending()
+        self.handling = False  # a read has ended, and not all of it is used up
         self.inbox = resp.Inbox(house.owner.grown, house.owner.most_value)
         self.closed = False
         self.writer: asyncio.Task[None] | None = None
@@ -73,13 +78,16 @@
         self.forsaken = ""  # for the tape: which shot was given up, and why
         self.reader = asyncio.ensure_future(self.read())
 
-    def write(self, shot: Shot) -> None:
+    def silent(self) -> bool:
+        """Nothing came that was not used up: not in the kernel, nor in a read whose task has not gone on."""
+        return not self.handling and not self.reading.done and waiting(self.sock) == 0
+
+    def write(self, shot: Shot) -> bool:
+        """False if the shot is no longer wanted: then nothing was done."""
         data = shot.tries()
-        if data is None:  # no longer wanted
+        if data is None:
             shot.finish(Ending.NOT_SENT)
-            if not self.shots:
-                self.house.park(self)
-            return
+            return False
         self.shots.append(shot)
         shot.line = self
         try:
@@ -88,20 +96,23 @@
             sent = 0
         except OSError:
             self.close()
-            return
+            return True
         shot.written = sent == len(data)
         if self.tape:
             self.tape.asked(data[:sent], shot.mark)
         if not shot.written:
             self.writer = asyncio.ensure_future(self.write_on(shot, data[sent:]))
+        return True
 
     async def write_on(self, shot: Shot, rest: bytes) -> None:
         loop = self.house.owner.loop
         try:
             if len(rest) > 1:
                 await loop.sock_sendall(self.sock, rest[:-1])
-            await loop.sock_sendall(self.sock, rest[-1:])  # by itself: it decides whether the shot is out
+            # The last byte by itself: it decides whether the shot is out. It may be, from here on: the loop
+            # may have written it, and the connection break, before this task goes on.
             shot.written = True
+            await loop.sock_sendall(self.sock, rest[-1:])
             if self.tape:
                 self.tape.asked(rest)
             self.writer = None
@@ -115,6 +126,7 @@
                 size = await self.more(inbox)
                 if not size:
                     break
+                self.handling = True
                 inbox.filled(size)
                 if self.tape:
                     self.tape.replied(bytes(inbox.data[inbox.end - size : inbox.end]))
@@ -133,9 +145,12 @@
                         break
                     if inbox.held or behind:
                         raise resp.Broken("more came than one answer")
-                    self.house.park(self)
+                    self.handling = False
+                    self.house.rest(self)
+                self.handling = False
         except resp.Broken as trouble:
-            say("node_broken", logging.WARNING, node=self.house.name, why=trouble)
+            keys = {"idle": time.monotonic() - self.idle_since} if not self.shots else {}
+            say("node_broken", logging.WARNING, node=self.house.name, why=trouble, **keys)
         except OSError:
             pass
         finally:
@@ -143,16 +158,26 @@
 
     async def more(self, inbox: resp.Inbox) -> int:
         """Read on. A node writes an answer in one go: where its next part does not come for twice the time
-        that a connection may take to come up, it is spoilt, and its shot need not wait out its time limit."""
-        room, owner = inbox.room(), self.house.owner
-        while inbox.held:
-            try:
-                async with asyncio.timeout(2 * owner.connect_timeout):
-                    return await owner.loop.sock_recv_into(self.sock, room)
-            except TimeoutError:
-                if waiting(self.sock) == 0:  # else it has come, and this process was late
-                    raise resp.Broken("an answer stopped half way") from None
-        return await owner.loop.sock_recv_into(self.sock, room)
+        that a connection may take to come up, it is spoilt, and its shot need not wait out its time limit. No
+        read is given up for that: one that ended as the time did would leave a hole in the answer."""
+        room, owner, timer = inbox.room(), self.house.owner, None
+        if inbox.held:
+            timer = owner.loop.call_later(2 * owner.connect_timeout, self.stopped)
+        try:
+            return await self.reading.of(owner.loop.sock_recv_into(self.sock, room))
+        finally:
+            if timer:
+                timer.cancel()
+
+    def stopped(self) -> None:
+        if not self.closed and self.silent():  # else it has come, and this process was late
+            say("node_broken", logging.WARNING, node=self.house.name, why="an answer stopped half way")
+            self.close()
+
+    def takes(self, most: int) -> bool:
+        """One more may be written behind what is out: not while a read is being used up, as what lies behind
+        an answer would be taken for this one's."""
+        return not self.writer and not self.handling and not self.reading.done and len(self.shots) < most
 
     def forsake(self, shot: Shot, ending: Ending) -> None:
         if self.tape and shot.mark:
@@ -206,27 +231,41 @@
             self.waiting.popleft().finish(Ending.NO_CONNECTION)
 
     def park(self, line: Line) -> None:
-        """A line has nothing out: to the first that waits, or idle."""
+        """A line has nothing out and owes nothing: to the first that waits and is wanted, or idle."""
         while self.waiting and not line.closed:
             shot = self.waiting.popleft()
-            if not shot.done:
-                line.write(shot)
+            if not shot.done and line.write(shot):
                 return
         if self.left:
             line.close()
         elif not line.closed and line not in self.idle:
+            self.idle.append(line)
+
+    def rest(self, line: Line) -> None:
+        """A line has answered all: idle, for a while with nothing to do."""
+        if self.left:
+            line.close()
+        elif not line.closed:
             line.idle_since = time.monotonic()
+            line.rests_until = line.idle_since + REST
             self.idle.append(line)
+            if self.waiting:
+                self.owner.loop.call_later(REST, self.rested)
+
+    def rested(self) -> None:
+        if self.waiting and (line := self.take_idle()):
+            self.park(line)
 
     def take_idle(self) -> Line | None:
-        """The last used, unless the node has ended it or is about to, or sent more than it owed."""
+        """The last used of those that have rested, unless the node has ended it or is about to, or sent more
+        than it owed."""
         now, fresh = time.monotonic(), list[Line]()
         found = None
         while self.idle and not found:
             line = self.idle.pop()
-            if now - line.idle_since < SETTLE:
+            if now < line.rests_until:
                 fresh.append(line)
-            elif now - line.idle_since < self.owner.retire_after and waiting(line.sock) == 0:
+            elif now - line.idle_since < self.owner.retire_after and line.silent():
                 found = line
             else:
                 line.close()
@@ -265,7 +304,8 @@
             house = self.houses[key] = House(self, key, name)
         shot = Shot(tries, ended, probe, mark)
         if line := house.take_idle():
-            line.write(shot)
+            if not line.write(shot):
+                house.park(line)
         elif self.open < self.most or self.spare():
             house.waiting.append(shot)
             self.open += 1
@@ -276,11 +316,13 @@
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
         else:
-            lines = [line for line in house.lines if not line.writer and len(line.shots) < self.streams]
+            lines = [line for line in house.lines if line.shots and line.takes(self.streams)]
             if lines:
                 min(lines, key=lambda line: len(line.shots)).write(shot)
-            elif house.coming:
+            elif house.coming or house.idle:
                 house.waiting.append(shot)
+                if house.idle:
+                    self.loop.call_later(REST, house.rested)
             else:
                 say("no_descriptor", logging.WARNING, open=self.open)
                 shot.finish(Ending.NOT_SENT)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,6 +12,7 @@
     burst COUNT EVERY WORKLOAD BUILD=ENDING:TOOK,... ...   calls in a row; shots end by build, cycling
     sick NODE ..., mute NODE ...   in bursts, these fail or do not answer; fail NODE ends what it holds so
     flood COUNT EVERY WORKLOAD     calls in a row, left without endings
+    waited BUILD goes | stays      its shots out had no connection before now: may they still go?
     cut M, mend M, kill M          drop its messages, deliver them again, restart it with nothing
     bytes M HEX                    a peer message from M; `2> ...` does a step at marshal 2, `each ...` at all
     expect N shot [NODE,...] | shots K | rejected | broken | waits | withdrawn K
@@ -204,6 +205,13 @@
                 ending, took = plan[-1].split(":")
                 self.end(me, self.calls, left[0], "error" if node in self.sick else ending, float(took))
 
+    def do_waited(self, me: int, build: str, wanted: str) -> None:
+        mine = {number for number, each in self.builds.items() if each == int(build)}
+        rows = [(n, s) for n, nodes in self.shots.items() for s in self.out(n) if nodes[s] in mine]
+        self.marshals[me].now = self.now
+        found = {self.marshals[me].still(number, shot) for number, shot in rows}
+        assert found == {wanted == "goes"}, (rows, found)
+
     def do_fail(self, me: int, node: str) -> None:
         for number in list(self.shots):
             for shot in self.out(number):
