--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -218,12 +218,18 @@
 
     def departed(self) -> None:
         """The customer has closed its connection, or ended its sending on it: TCP does not tell which. It has
-        gone (PROTOCOL): nothing more is sent for what is in hand; if it still reads, it has its answers."""
+        gone (PROTOCOL): nothing more is sent for what is in hand; if it still reads, it has its answers, also
+        those that it has not taken yet: `look` or `taken` close behind them."""
         for slot in list(self.slots):
             self.owner.door.customer_left(slot)
             if slot.parts is None:
                 slot.broken_off("its connection ended")
-        self.close()
+        if self.rest and not self.closed:
+            self.ending, self.since = True, self.owner.loop.time()
+            if self.reader is not asyncio.current_task():
+                self.reader.cancel()
+        else:
+            self.close()
 
     def end(self, why: str) -> None:
         """One error line behind what is in hand; then nothing more is read, and `look` closes."""
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -185,6 +185,9 @@
         if all(each.done or each is shot for each in self.shots):
             self.shots.clear()
             self.close()
+        elif not shot.written:  # its rest would go out behind its final answer: the others are cut instead
+            self.shots.remove(shot)
+            self.close()
         # else others are out on it: what comes for this one is passed over
 
     def close(self) -> None:
--- a/gatebank/net/roll.py
+++ b/gatebank/net/roll.py
@@ -18,6 +18,7 @@
 from gatebank.net.http import Caller, Unanswered
 from gatebank.net.launch import Address, Unfit, address
 from gatebank.net.log import say
+from gatebank.net.sockets import Turn
 from gatebank.peers import mark
 
 WAIT = 2.0  # s a watch may wait: an outage shows this soon; PROTOCOL allows 60
@@ -140,8 +141,9 @@
     failed: Callable[[], None],
     tries: Tries,
     count: Callable[[str], None],
+    turn: Turn,
 ) -> None:
-    """Ask for what is newer than ``version``, for ever."""
+    """Ask for what is newer than ``version``, for ever; once another takes over, only while this lasts."""
     caller, silent = Caller(where), False
     try:
         await asyncio.sleep(tries.first())
@@ -157,6 +159,8 @@
                     raise Refused(f"discovery answered {status}")
                 entries, whole, version = register.entries(orjson.loads(body))
             except (Unanswered, Refused, ValueError) as trouble:  # the last list stands
+                if turn.over:
+                    return
                 if not silent:
                     say("roll_lost", logging.WARNING, why=trouble)
                     failed()
@@ -166,6 +170,7 @@
                 await asyncio.sleep(tries.failed(isinstance(trouble, Refused)))
                 continue
             tries.answered()
+            turn.begins()
             if silent:
                 say("roll_back", version=version)
             silent = False
--- a/gatebank/net/service.py
+++ b/gatebank/net/service.py
@@ -22,6 +22,7 @@
 from gatebank.net.log import LOG, say
 from gatebank.net.nodes import Nodes
 from gatebank.net.roll import Register, Tries, follow
+from gatebank.net.sockets import Turn
 from gatebank.net.words import Words
 
 if TYPE_CHECKING:  # not even imported where no operators' file asks for them
@@ -100,28 +101,39 @@
 
 
 class Following:
-    """What follows discovery and the release desk; owns both tasks. `move` ends them and begins them anew at
-    the addresses told: another discovery may count its versions otherwise, so it tells the whole list."""
+    """What follows discovery and the release desk; owns both tasks. `move` begins them anew at the addresses
+    told: another discovery may count its versions otherwise, so it tells the whole list. What was followed so
+    far ends with the first word from there, or with its connection."""
 
     def __init__(self, exchange: Exchange, register: Register, desk: Desk) -> None:
         self.exchange, self.register, self.desk = exchange, register, desk
-        self.tasks: list[asyncio.Future[None]] = []
+        self.turns: dict[str, Turn] = {}  # what is followed, by its name: two rows at most
 
     def move(self, posting: Posting, version: int | None = None) -> None:
-        self.close()
-        exchange, work = self.exchange, dict[str, Callable[[], Awaitable[None]]]()
+        exchange = self.exchange
         if where := posting.roll:
             tries = Tries(exchange.orders, Random(f"{posting.seed} roll"))
             told = (exchange.rolled, exchange.roll_failed, tries, exchange.count)
-            work["roll"] = lambda: follow(where, self.register, version, *told)
-        self.desk.where = posting.desk  # votes in hand end where they were cast
-        if posting.desk:
-            work["desk"] = self.desk.follow
-        self.tasks = [asyncio.ensure_future(kept(what, each)) for what, each in work.items()]
+            self.follow("roll", lambda turn: follow(where, self.register, version, *told, turn))
+        else:
+            self.end("roll")
+        self.desk.where = at = posting.desk  # votes in hand end where they were cast
+        if at:
+            self.follow("desk", lambda turn: self.desk.follow(at, turn))
+        else:
+            self.end("desk")
+
+    def follow(self, what: str, work: Callable[[Turn], Awaitable[None]]) -> None:
+        turn = self.turns[what] = Turn(self.turns.get(what))
+        turn.task = asyncio.ensure_future(kept(what, lambda: work(turn)))
+
+    def end(self, what: str) -> None:
+        if turn := self.turns.pop(what, None):
+            turn.close()
 
     def close(self) -> None:
-        for task in self.tasks:
-            task.cancel()
+        for what in list(self.turns):
+            self.end(what)
 
 
 async def heed(
--- a/gatebank/net/sockets.py
+++ b/gatebank/net/sockets.py
@@ -74,6 +74,33 @@
             self.future = None
 
 
+class Turn:
+    """Who is followed at one address. What that address has written to this marshal counts as told
+    (PROTOCOL), so a turn ends only with the first word of the next: until then it goes on, and ends by itself
+    as its connection does."""
+
+    __slots__ = ("before", "over", "task")
+
+    def __init__(self, before: Turn | None = None) -> None:
+        while before and before.task and before.task.done():
+            before = before.before
+        self.before, self.over = before, False  # over: the next has been begun
+        self.task: asyncio.Future[None] | None = None
+        if before:
+            before.over = True
+
+    def begins(self) -> None:
+        """The first word has come from here: those before have had their turn."""
+        if self.before:
+            self.before.close()
+        self.before = None
+
+    def close(self) -> None:
+        if self.task:
+            self.task.cancel()
+        self.begins()
+
+
 def hung_up(sock: socket.socket) -> bool:
     """The other side has ended its sending or the connection is broken, whatever lies unread before that."""
     look = select.poll()
