--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import gatebank.early  # noqa: F401  (first, for its effect)
+
+# isort: split
 import os
 import sys
 from pathlib import Path
--- a/gatebank/net/service.py
+++ b/gatebank/net/service.py
@@ -235,6 +235,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, leaving.set)
         loop.add_signal_handler(signal.SIGHUP, told.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # blocked by gatebank/early.py
         try:
             customers.listen(posting.listen)
         except OSError as trouble:
--- a/tests/races.py
+++ b/tests/races.py
@@ -9,11 +9,15 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
 import struct
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -31,6 +35,7 @@
 from gatebank.net.service import Following
 from gatebank.net.sockets import waiting
 from gatebank.standins.wire import packed, page
+from tests.sockets import ROOT, Marshal, Stand
 
 PATIENCE = 10.0  # s for anything awaited; only a failing check takes so long
 PING = packed(b"PING")
@@ -849,6 +854,57 @@
             there.close()
 
 
+HOOK = """
+import os, signal, sys
+
+class Hook:
+    def find_spec(self, name, path=None, target=None):
+        if name == {name!r}:
+            os.kill(os.getpid(), signal.{signal})
+
+sys.meta_path.insert(0, Hook())
+"""
+
+
+async def signalled_at_start(name: str, number: str) -> None:
+    """The signal comes as the starting process imports this module. SIGHUP waits until it can be heeded;
+    SIGTERM ends what has taken nothing yet."""
+    stand = Stand()
+    process = None
+    try:
+        await stand.world.start()
+        await stand.world.add("a", 41)
+        (Path(stand.folder.name) / "sitecustomize.py").write_text(HOOK.format(name=name, signal=number))
+        command = (sys.executable, "-m", "gatebank", "serve", str(stand.configuration(0, 1)))
+        environment = dict(os.environ) | {"PYTHONPATH": stand.folder.name}
+        process = await asyncio.create_subprocess_exec(
+            *command, cwd=ROOT, stderr=asyncio.subprocess.PIPE, env=environment
+        )
+        marshal = Marshal(stand.address(0), process)
+        if number == "SIGHUP":
+            await marshal.says("event=ready")
+            await marshal.says("event=reloaded")
+            process.send_signal(signal.SIGTERM)
+        found = await asyncio.wait_for(process.wait(), PATIENCE)
+        await marshal.reader
+        assert found == (0 if number == "SIGHUP" else -signal.SIGTERM), (found, marshal.lines)
+    finally:
+        if process and process.returncode is None:
+            process.kill()
+        await stand.world.stop()
+        stand.folder.cleanup()
+
+
+def started() -> list[tuple[str, Any]]:
+    """Those that start the program."""
+    places = ("typer", "uvloop", "gatebank.net.service")
+    return [
+        (f"races: {number} at the import of {name}", signalled_at_start(name, number))
+        for name in places
+        for number in ("SIGHUP", "SIGTERM")
+    ]
+
+
 def checks() -> list[tuple[str, Callable[[], None]]]:
     found: list[tuple[str, Callable[[], Awaitable[None]]]] = [
         ("read, not gone on: leaving", lambda: read_but_not_gone_on(settles)),
@@ -896,6 +952,12 @@
             print("ok    ", title)
         except Exception as trouble:
             print("FAILED", title, repr(trouble)[:200])
+    for title, check in started():
+        try:
+            asyncio.run(check)
+            print("ok    ", title)
+        except Exception as trouble:
+            print("FAILED", title, repr(trouble)[:200])
 
 
 if __name__ == "__main__":
