--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -172,7 +172,8 @@
             self.forget(held, "left")
 
     def time_is_up(self, held: Held) -> None:
-        """The customer's time limit: what is out ends, and the final answer is still owed."""
+        """The customer's time limit: what is out ends, also where the customer has gone and settings forbid
+        to withdraw; the final answer may still be owed."""
         for shot in held.shots:
             if shot:
                 shot.give_up(Ending.TIMED_OUT)
@@ -289,8 +290,6 @@
         if LOG.isEnabledFor(logging.DEBUG):
             keys = {"workload": held.asked.workload, "shots": len(held.shots)}
             say("answered", logging.DEBUG, id=held.asked.id.decode(errors="replace"), how=how, **keys)
-        if held.timer:
-            held.timer.cancel()
 
     def settle(self, held: Held) -> None:
         if held.answered and not held.out and self.held.get(held.number) is held:
@@ -298,6 +297,8 @@
             self.free.append(held.number)
             self.held_bytes -= held.asked.size + ROW
             held.slot.held = None
+            if held.timer:
+                held.timer.cancel()
 
     def cap(self, build: int) -> float:
         news = self.news
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -256,8 +256,13 @@
                 self.owner.loop.call_later(REST, self.rested)
 
     def rested(self) -> None:
-        if self.waiting and (line := self.take_idle()):
+        """Who waits is served by those that have rested. The loop's clock stands still within a turn, and so
+        its timers come some milliseconds early: who has not quite rested is looked at again."""
+        while self.waiting and (line := self.take_idle()):
             self.park(line)
+        if self.waiting and self.idle:
+            left = min(line.rests_until for line in self.idle) - time.monotonic()
+            self.owner.loop.call_later(max(0.001, left), self.rested)
 
     def take_idle(self) -> Line | None:
         """The last used of those that have rested, unless the node has ended it or is about to, or sent more
