--- /dev/null
+++ b/tests/strangers.py
@@ -0,0 +1,165 @@
+"""Nothing of one deployment in another's: two marshals with different settings in one process do what each
+does alone in its own, decision by decision and byte by byte.
+
+    python -m tests.strangers NAME     plays one alone and prints what it did
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from itertools import zip_longest
+from typing import Any
+
+import uvloop
+
+from benchmarks.same_acts import play
+from gatebank import brain
+from gatebank.interface import Repeats
+from gatebank.net import launch
+from gatebank.net.customers import Customers
+from gatebank.net.exchange import Clock, Exchange
+from gatebank.net.nodes import Nodes
+from gatebank.net.roll import Register
+from gatebank.standins.wire import packed
+from gatebank.standins.world import World
+from tests.sockets import PATIENCE, ROOT
+
+# The same names with other meanings, other limits, and what one has and the other lacks.
+CLASSES = {
+    "harbour": [("read", "free", 7000), ("pay", "single_shot", 9000), ("sign", "guarded", 8000)],
+    "library": [
+        ("pay", "free", 5000), ("sign", "single_shot", 6000), ("read", "guarded", 7000), ("0", "free", 8000),
+    ],
+}  # fmt: skip
+MORE = {
+    "harbour": {"accounts": [], "limits": {"max-attempts": 1, "retry-after": False, "cancel": True}},
+    "library": {
+        "accounts": [{"name": "all", "share": 0.3}, {"name": "t", "share": 0.7}],
+        "limits": {"max-attempts": 3, "retry-after": True, "cancel": False},
+        "domain": {"caps": [0.5, 1.0], "counted-by": "per_lane", "exposure-window-ms": 900},
+    },
+}
+BRAINS: dict[str, tuple[int, dict[str, Any]]] = {
+    "harbour": (1, {}),
+    "library": (
+        4,
+        {
+            "most_shots": 2, "may_withdraw": False, "may_say_back_in": False, "caps": [0.6, 1.0],
+            "exposure_window": 0.7, "spare_shots": 0, "warm_up": 1.0, "vote_life": 2.0, "back_votes": 2,
+            "workloads": [
+                {"name": n, "repeats": r, "target_time": t, "payoff": p, "group": g, "window": 0.4}
+                for n, r, t, p, g in (
+                    ("read", Repeats.EXCLUSIVE, 0.2, 9.0, "all"),
+                    ("sign", Repeats.RERUNNABLE, 3.0, 1.0, "all"),
+                    ("pay", Repeats.TICKETED, 0.5, 2.0, "cell"),
+                )
+            ],
+        },
+    ),
+}  # fmt: skip
+
+
+def acts(name: str) -> Iterator[str]:
+    seed, settings = BRAINS[name]
+    return play(brain, seed, settings)
+
+
+class Whole:
+    """One marshal's parts on real connections, a toy node behind it that serves every third command, and a
+    customer that asks with every name of either deployment."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.world, self.said = name, World(), list[str]()
+        self.world.plan.extend(["value", "error", "busy"] * 40)
+
+    async def play(self) -> list[str]:
+        await self.world.start()
+        await self.world.add("node", 41)
+        settings = json.loads((ROOT / "examples/marshal.json").read_text())["settings"]
+        for part, told in MORE[self.name].items():
+            settings[part] = settings[part] | told if isinstance(told, dict) else told
+        settings["classes"] = [
+            {"name": n, "semantics": s, "on-time-ms": d // 2, "deadline-ms": d, "worth": 1 + i}
+            | {"group": "all", "window-ms": d // 2}
+            for i, (n, s, d) in enumerate(CLASSES[self.name])
+        ]
+        told = {"listen": "127.0.0.1:1", "seed": "7", "settings": settings}
+        orders = dict(launch.found(told).standing_orders)
+        register = Register(orders)
+        exchange = Exchange(orders, 7, Clock(), register, 1 << 20)
+        exchange.nodes = Nodes(orders, 8)
+        customers = Customers(orders, exchange, 8, launch.Bounds.within(64))
+        customers.listen((self.world.host, 0))
+        accepting = asyncio.ensure_future(customers.accept())
+        exchange.start(register.entries(self.world.listing(None))[0], None)
+        try:
+            assert customers.listener
+            await asyncio.wait_for(self.ask(customers.listener.getsockname()), PATIENCE)
+        finally:
+            accepting.cancel()
+            customers.close()
+            exchange.nodes.close()
+            await self.world.stop()
+        sent = [b" ".join(words).decode().replace(",", " ").split() for _, words in self.world.shots]
+        return self.said + [" ".join(word for word in each if word[:2] != "d=") for each in sent]
+
+    async def ask(self, where: tuple[str, int]) -> None:
+        reader, writer = await asyncio.open_connection(*where)
+        names = sorted({row[0] for rows in CLASSES.values() for row in rows})
+        for number, (each, command, tenant) in enumerate(
+            (n, c, t) for n in names for c in ("Q.ASK", "Q.DO") for t in ("", "t=all,", "t=t,")
+        ):
+            words = f"c={each},{tenant}d=4000,k=ticket-{number}"
+            body = (b"body",) if command == "Q.DO" else ()
+            writer.write(packed(command.encode(), b"key", b"%d" % number, words.encode(), *body))
+            line = await reader.readline()
+            if line[:1] == b"$":
+                await reader.readexactly(int(line[1:]) + 2)
+            self.said.append(f"{number} {each} {command} {tenant} {line!r}")
+            if line.startswith((b"-ERR no such", b"-ERR this workload")):
+                writer.close()  # what it does not know ends a connection once there are several
+                reader, writer = await asyncio.open_connection(*where)
+        writer.close()
+
+
+def alone(name: str) -> dict[str, list[str]]:
+    command = [sys.executable, "-m", "tests.strangers", name]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=120, check=True)
+    return json.loads(done.stdout)
+
+
+async def both() -> dict[str, list[str]]:
+    found = await asyncio.gather(*(Whole(name).play() for name in CLASSES))
+    return dict(zip(CLASSES, found, strict=True))
+
+
+def strangers() -> None:
+    wanted = {name: alone(name) for name in CLASSES}
+    found: dict[str, list[str]] = {name: [] for name in BRAINS}
+    for rows in zip_longest(*(acts(name) for name in BRAINS)):
+        for name, row in zip(BRAINS, rows, strict=True):
+            found[name] += [row] if row is not None else []
+    talk = uvloop.run(both())
+    for name in CLASSES:
+        assert len(found[name]) > 1000 and found[name] == wanted[name]["acts"], name
+        assert talk[name] == wanted[name]["talk"], [
+            pair for pair in zip(talk[name], wanted[name]["talk"], strict=False) if pair[0] != pair[1]
+        ][:3]
+    assert talk["harbour"] != talk["library"]
+
+
+def checks() -> list[tuple[str, Callable[[], None]]]:
+    return [("strangers: two deployments in one process", strangers)]
+
+
+def main(name: str) -> None:
+    talk = uvloop.run(Whole(name).play())
+    print(json.dumps({"acts": list(acts(name)), "talk": talk}))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
