--- a/gatebank/net/customers.py
+++ b/gatebank/net/customers.py
@@ -20,7 +20,7 @@
 from gatebank.net import resp
 from gatebank.net.launch import Address, Bounds
 from gatebank.net.log import say
-from gatebank.net.sockets import Pending, Record, give_back, hung_up, opened, waiting
+from gatebank.net.sockets import Pending, Record, give_back, hung_up, opened, unsent, waiting
 
 IN_HAND = 64  # commands of a connection before it is read on
 LOOK = 0.1  # s between looks at the clocks below
@@ -181,6 +181,11 @@
         on, or in the buffer behind what is in hand. A close would lose what has been taken."""
         return self.handling or self.reading.done or waiting(self.sock) != 0
 
+    def owes(self, now: float) -> bool:
+        """Who is idle would lose something by a close: what it has asked and was not read, or answers that it
+        is slow to take; not one that takes nothing for long."""
+        return self.unread() or (now - self.since < STALL and unsent(self.sock))
+
     async def read(self) -> None:
         inbox, loop = self.inbox, self.owner.loop
         try:
@@ -249,7 +254,8 @@
         if (self.handling or self.ending) and self.slots and hung_up(self.sock):
             self.departed()  # it is not being read, so that nobody else sees the end
         elif self.ending and self.idle:
-            if now - self.since >= LINGER:  # so that the error line is read, or the end seen
+            # So that the error line is read, or the end seen.
+            if now - self.since >= (SETTLED if unsent(self.sock) else LINGER):
                 self.close()
         elif self.ending:
             if now - self.since >= SETTLED:  # its error line is due: what is in hand gets its final answer
@@ -265,7 +271,7 @@
                 self.reader.cancel()
         elif self.idle:
             limit = HALF if not self.spoke else IDLE_CROWDED if crowded else IDLE
-            if now - self.since >= limit and not self.unread():
+            if now - self.since >= limit and not self.owes(now):
                 self.close()
 
     def take(self, words: list[memoryview]) -> None:
@@ -441,7 +447,7 @@
         asked once with: of those idle the longest unused go, so that others still find a connection."""
         idle = [line for line in self.lines if line.idle and line.spoke and not line.ending]
         for line in idle[: max(0, len(idle) - self.most // 3)]:  # a third of ours: a sixth of the descriptors
-            if not line.begun and not line.unread():
+            if not line.begun and not line.owes(self.loop.time()):
                 line.close()
 
     def spare(self, newest: Line | None) -> bool:
@@ -450,7 +456,7 @@
         now, idle = self.loop.time(), [line for line in self.lines if line.idle and line is not newest]
         mute = [line for line in idle if line.ending or (not line.spoke and now - line.since >= FRESH)]
         spoke = [line for line in idle if line.spoke and not line.ending]
-        line = next((line for line in mute + spoke if line.ending or not line.unread()), None)
+        line = next((line for line in mute + spoke if line.ending or not line.owes(now)), None)
         if line:
             line.close()
         return line is not None
@@ -470,7 +476,7 @@
         """An answer is out: while this marshal leaves, a line ends when it is idle."""
         if not self.leaving or not line.idle or line.ending:
             return
-        if not line.begun and not line.unread():
+        if not line.begun and not line.owes(self.loop.time()):
             if line.spoke or self.loop.time() - line.since >= FRESH:  # it has just come, and may be about to
                 line.close()
         elif self.time_left() < PARTING and not line.handling and not line.reading.done:
--- a/gatebank/net/sockets.py
+++ b/gatebank/net/sockets.py
@@ -6,6 +6,7 @@
 import select
 import socket
 from collections.abc import Callable, Coroutine, Generator
+from fcntl import ioctl
 from types import coroutine
 from typing import Any, Protocol
 
@@ -108,6 +109,18 @@
     return bool(look.poll(0))
 
 
+SIOCOUTQNSD = 0x894B  # linux/sockios.h: bytes in the send queue that have not been sent, in an int
+
+
+def unsent(sock: socket.socket) -> bool:
+    """Bytes written to it wait here, as the other side has no room for them. A close forgets them as soon as
+    one byte comes that nobody reads. Where the system does not tell, none are."""
+    try:
+        return any(ioctl(sock, SIOCOUTQNSD, bytes(4)))
+    except OSError:
+        return False
+
+
 def waiting(sock: socket.socket) -> int:
     """1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
     try:
--- a/tests/races.py
+++ b/tests/races.py
@@ -202,6 +202,10 @@
     line.look(line.since + net.IDLE + 1.0, False)
 
 
+def idles_out_crowded(customers: Customers, line: Line) -> None:
+    line.look(line.since + net.IDLE_CROWDED + 1.0, True)
+
+
 def stops_half_way(customers: Customers, line: Line) -> None:
     line.look(line.came + net.WHOLE + 1.0, False)
 
@@ -707,6 +711,42 @@
         front.close()
 
 
+async def untaken_answer(close: Callable[[Customers, Line], Any]) -> None:
+    """An answer is out of this process and not yet with its client, which is slow to read and has a next
+    request ready. Whoever closes what looks idle meets that request: the kernel then throws away what it
+    still had to send. The answer is whole, whatever becomes of the request behind it."""
+    front = Front()
+    try:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(front.where)
+        client = Client(front.where)
+        client.sock.close()
+        client.sock = sock
+        sock.setblocking(False)
+        await until(lambda: len(front.customers.lines) == 1)
+        (line,) = front.customers.lines
+        sock.send(request(1))
+        await until(lambda: front.door.open)
+        ((slot, _),) = front.door.open.items()
+        front.door.open.clear()
+        value = b"x" * 60_000
+        slot.satisfied(memoryview(value))
+        assert line.idle and not line.writer, "the order was not forced"
+        close(front.customers, line)
+        with suppress(ConnectionError):
+            sock.send(request(2))
+        wanted, found = b"$60000\r\n%b\r\n" % value, b""
+        with suppress(ConnectionError):
+            async with asyncio.timeout(PATIENCE):
+                while len(found) < len(wanted) and (part := await client.loop.sock_recv(sock, 4096)):
+                    found += part
+                    front.door.answer_all()
+        assert found.startswith(wanted), (len(found), len(wanted))
+    finally:
+        front.close()
+
+
 async def sent_again_by_its_client() -> None:
     """A close of ours crosses a request: its client sends the same once more on a new connection. The first
     copy, which was never taken, must not stand in its way."""
@@ -1092,6 +1132,10 @@
         ("a node that trickles", trickles),
         ("half-closed amid an answer", lambda: gone_amid_an_answer(True)),
         ("closed amid an answer", lambda: gone_amid_an_answer(False)),
+        ("an answer not taken: leaving", lambda: untaken_answer(settles)),
+        ("an answer not taken: making room", lambda: untaken_answer(makes_room)),
+        ("an answer not taken: thinning", lambda: untaken_answer(thins)),
+        ("an answer not taken: idle for long", lambda: untaken_answer(idles_out_crowded)),
         ("sent again by its client", sent_again_by_its_client),
         ("half written behind another", half_written_behind_another),
         ("an answer that breaks off anywhere", breaks_off_anywhere),
