--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -40,7 +40,7 @@
 from gatebank.net.customers import Asked, Senseless, Slot
 from gatebank.net.desk import Desk
 from gatebank.net.log import LOG, say
-from gatebank.net.nodes import Key, Nodes, Shot
+from gatebank.net.nodes import Attempt, Key, Nodes
 from gatebank.net.roll import Register
 from gatebank.net.words import Words
 
@@ -65,7 +65,7 @@
 
     def __init__(self, number: int, asked: Asked, slot: Slot, deadline: float) -> None:
         self.number, self.asked, self.slot, self.deadline = number, asked, slot, deadline
-        self.shots: list[Shot | None] = []
+        self.shots: list[Attempt | None] = []
         self.out, self.answered = 0, False
         self.timer: asyncio.TimerHandle | None = None
 
@@ -335,7 +335,7 @@
         mark = ""
         if self.nodes.record:
             mark = f"invocation {held.asked.id.decode(errors='replace')} shot {number}"
-        shot = self.nodes.shoot(self.key(entry), self.register.names[node], tries, ended, mark=mark)
+        shot = self.nodes.send(self.key(entry), self.register.names[node], tries, ended, mark=mark)
         if not shot.done:
             held.shots[number] = shot
             if end < held.deadline:
--- a/gatebank/net/nodes.py
+++ b/gatebank/net/nodes.py
@@ -1,8 +1,9 @@
-"""The client side: connections to nodes, the shots on them, and probes.
+"""The client side: connections to nodes, the attempts on them, and probes.
 
-Nodes owns a House for each node at its address; a House its lines; a Line its socket, buffer and tasks,
-given back in `Line.close`, the one place. One shot is out on a line at a time; behind another one is written
-only when descriptors are short, up to the number that the settings allow. Nothing is ever sent again here.
+Nodes owns a ConnectionPool for each node at its address; a pool its connections; a Connection its socket,
+buffer and tasks, given back in `Connection.close`, the one place. One attempt is out on a connection at a
+time; behind another one is written only when descriptors are short, up to the number that the settings allow.
+Nothing is ever sent again here.
 """
 
 from __future__ import annotations
@@ -23,24 +24,24 @@
 
 PING = resp.command([b"PING"])
 # s a connection rests after an answer: a second one, which may come some milliseconds late (STANDING), would
-# be taken for that to the next shot. Harmful where a node gets more than some tens of shots a second from one
-# marshal, and connections are dear.
+# be taken for that to the next attempt. Harmful where a node gets more than some tens of attempts a second
+# from one marshal, and connections are dear.
 REST = 0.02
 Key = tuple[int, Address, int, float | None]  # node, where it listens, build, start
 Ended = Callable[[Ending, memoryview | None, Sequence[float] | None], None]
 
 
-class Shot:
-    """One shot or probe; ``ended`` is called once, with how it ended and what came."""
+class Attempt:
+    """One attempt or probe; ``ended`` is called once, with how it ended and what came."""
 
-    __slots__ = ("done", "ended", "line", "mark", "probe", "timer", "tries", "written")
+    __slots__ = ("connection", "done", "ended", "mark", "probe", "timer", "tries", "written")
 
     def __init__(
         self, tries: Callable[[], bytes | None], ended: Ended, probe: bool, mark: str = ""
     ) -> None:
         self.tries, self.ended, self.probe = tries, ended, probe
-        self.mark = mark  # for a recording: which shot of which invocation
-        self.line: Line | None = None
+        self.mark = mark  # for a recording: which attempt of which invocation
+        self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None  # its own limit; goes with its end
         self.done = self.written = False  # written: to its last byte, or that is on its way
 
@@ -56,40 +57,40 @@
     def give_up(self, ending: Ending) -> None:
         """Withdrawn or out of time: its connection is closed, that it is not out twice."""
         if not self.done:
-            if self.line:
-                self.line.forsake(self, ending)
+            if self.connection:
+                self.connection.forsake(self, ending)
             self.finish(ending)
 
 
-class Line:
+class Connection:
     """A connection to a node."""
 
-    def __init__(self, house: House, sock: socket.socket) -> None:
-        self.house, self.sock = house, sock
-        self.shots: deque[Shot] = deque()  # in the order written; emptied by answers, or by `close`
+    def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
+        self.pool, self.sock = pool, sock
+        self.attempts: deque[Attempt] = deque()  # in the order written; emptied by answers, or by `close`
         self.idle_since = time.monotonic()
         self.rests_until = 0.0  # it has answered, and may do so twice
         self.reading = Pending()
         self.handling = False  # a read has ended, and not all of it is used up
-        self.inbox = resp.Inbox(house.owner.grown, house.owner.most_value)
+        self.inbox = resp.Inbox(pool.owner.grown, pool.owner.most_value)
         self.closed = False
         self.writer: asyncio.Task[None] | None = None
-        self.tape = house.owner.record(sock) if house.owner.record else None
-        self.forsaken = ""  # for the tape: which shot was given up, and why
+        self.tape = pool.owner.record(sock) if pool.owner.record else None
+        self.forsaken = ""  # for the tape: which attempt was given up, and why
         self.reader = asyncio.ensure_future(self.read())
 
     def silent(self) -> bool:
         """Nothing came that was not used up: not in the kernel, nor in a read whose task has not gone on."""
         return not self.handling and not self.reading.done and waiting(self.sock) == 0
 
-    def write(self, shot: Shot) -> bool:
-        """False if the shot is no longer wanted: then nothing was done."""
-        data = shot.tries()
+    def write(self, attempt: Attempt) -> bool:
+        """False if the attempt is no longer wanted: then nothing was done."""
+        data = attempt.tries()
         if data is None:
-            shot.finish(Ending.NOT_SENT)
+            attempt.finish(Ending.NOT_SENT)
             return False
-        self.shots.append(shot)
-        shot.line = self
+        self.attempts.append(attempt)
+        attempt.connection = self
         try:
             sent = self.sock.send(data)
         except BlockingIOError:
@@ -97,21 +98,21 @@
         except OSError:
             self.close()
             return True
-        shot.written = sent == len(data)
+        attempt.written = sent == len(data)
         if self.tape:
-            self.tape.asked(data[:sent], shot.mark)
-        if not shot.written:
-            self.writer = asyncio.ensure_future(self.write_on(shot, data[sent:]))
+            self.tape.asked(data[:sent], attempt.mark)
+        if not attempt.written:
+            self.writer = asyncio.ensure_future(self.write_on(attempt, data[sent:]))
         return True
 
-    async def write_on(self, shot: Shot, rest: bytes) -> None:
-        loop = self.house.owner.loop
+    async def write_on(self, attempt: Attempt, rest: bytes) -> None:
+        loop = self.pool.owner.loop
         try:
             if len(rest) > 1:
                 await loop.sock_sendall(self.sock, rest[:-1])
-            # The last byte by itself: it decides whether the shot is out. It may be, from here on: the loop
-            # may have written it, and the connection break, before this task goes on.
-            shot.written = True
+            # The last byte by itself: it decides whether the attempt is out. It may be, from here on: the
+            # loop may have written it, and the connection break, before this task goes on.
+            attempt.written = True
             await loop.sock_sendall(self.sock, rest[-1:])
             if self.tape:
                 self.tape.asked(rest)
@@ -120,7 +121,7 @@
             self.close()
 
     async def read(self) -> None:
-        inbox, owner = self.inbox, self.house.owner
+        inbox, owner = self.inbox, self.pool.owner
         try:
             while not self.closed:
                 size = await self.more(inbox)
@@ -131,26 +132,26 @@
                 if self.tape:
                     self.tape.replied(bytes(inbox.data[inbox.end - size : inbox.end]))
                 for reply in inbox.replies():
-                    if not self.shots or not self.shots[0].written:
+                    if not self.attempts or not self.attempts[0].written:
                         raise resp.Broken("it answered what was not asked")
-                    shot = self.shots[0]
-                    told = pong(reply) if shot.probe else owner.understood(reply)
-                    self.shots.popleft()
-                    shot.finish(*told)
-                if not self.shots and not self.closed:
+                    attempt = self.attempts[0]
+                    told = pong(reply) if attempt.probe else owner.understood(reply)
+                    self.attempts.popleft()
+                    attempt.finish(*told)
+                if not self.attempts and not self.closed:
                     # Only now, with all that came used up: what lies behind an answer must not meet the next
-                    # shot, whose customer would be satisfied with another's value.
+                    # attempt, whose customer would be satisfied with another's value.
                     behind = waiting(self.sock)
                     if behind < 0:
                         break
                     if inbox.held or behind:
                         raise resp.Broken("more came than one answer")
                     self.handling = False
-                    self.house.rest(self)
+                    self.pool.rest(self)
                 self.handling = False
         except resp.Broken as trouble:
-            keys = {"idle": time.monotonic() - self.idle_since} if not self.shots else {}
-            say("node_broken", logging.WARNING, node=self.house.name, why=trouble, **keys)
+            keys = {"idle": time.monotonic() - self.idle_since} if not self.attempts else {}
+            say("node_broken", logging.WARNING, node=self.pool.name, why=trouble, **keys)
         except OSError:
             pass
         finally:
@@ -158,9 +159,9 @@
 
     async def more(self, inbox: resp.Inbox) -> int:
         """Read on. A node writes an answer in one go: where its next part does not come for twice the time
-        that a connection may take to come up, it is spoilt, and its shot need not wait out its time limit. No
-        read is given up for that: one that ended as the time did would leave a hole in the answer."""
-        room, owner, timer = inbox.room(), self.house.owner, None
+        that a connection may take to come up, it is spoilt, and its attempt need not wait out its time limit.
+        No read is given up for that: one that ended as the time did would leave a hole in the answer."""
+        room, owner, timer = inbox.room(), self.pool.owner, None
         if inbox.held:
             timer = owner.loop.call_later(2 * owner.connect_timeout, self.stopped)
         try:
@@ -171,22 +172,22 @@
 
     def stopped(self) -> None:
         if not self.closed and self.silent():  # else it has come, and this process was late
-            say("node_broken", logging.WARNING, node=self.house.name, why="an answer stopped half way")
+            say("node_broken", logging.WARNING, node=self.pool.name, why="an answer stopped half way")
             self.close()
 
     def takes(self, most: int) -> bool:
         """One more may be written behind what is out: not while a read is being used up, as what lies behind
         an answer would be taken for this one's."""
-        return not self.writer and not self.handling and not self.reading.done and len(self.shots) < most
+        return not self.writer and not self.handling and not self.reading.done and len(self.attempts) < most
 
-    def forsake(self, shot: Shot, ending: Ending) -> None:
-        if self.tape and shot.mark:
-            self.forsaken = f"{shot.mark} {ending.value}"
-        if all(each.done or each is shot for each in self.shots):
-            self.shots.clear()
+    def forsake(self, attempt: Attempt, ending: Ending) -> None:
+        if self.tape and attempt.mark:
+            self.forsaken = f"{attempt.mark} {ending.value}"
+        if all(each.done or each is attempt for each in self.attempts):
+            self.attempts.clear()
             self.close()
-        elif not shot.written:  # its rest would go out behind its final answer: the others are cut instead
-            self.shots.remove(shot)
+        elif not attempt.written:  # its rest would go out behind its final answer: the others are cut instead
+            self.attempts.remove(attempt)
             self.close()
         # else others are out on it: what comes for this one is passed over
 
@@ -195,88 +196,88 @@
         if self.closed:
             return
         self.closed = True
-        self.house.drop(self)
+        self.pool.drop(self)
         self.inbox.close()
         if self.tape:
             self.tape.ended(1 if waiting(self.sock) < 0 else 0, comment=self.forsaken)
         give_back(self.sock, self.reader, self.writer)
-        while self.shots:
-            shot = self.shots.popleft()
-            shot.finish(Ending.CUT if shot.written else Ending.NO_CONNECTION)
+        while self.attempts:
+            attempt = self.attempts.popleft()
+            attempt.finish(Ending.CUT if attempt.written else Ending.NO_CONNECTION)
 
 
 def pong(reply: resp.Reply) -> tuple[Ending, None, None]:
     return (Ending.SATISFIED if reply.mark == "+" else Ending.ERROR), None, None
 
 
-class House:
-    """A process of a node at its address: another under the same id and address has none of its lines."""
+class ConnectionPool:
+    """Connections to one process of a node at its address: another under the same id has its own."""
 
     def __init__(self, owner: Nodes, key: Key, name: str) -> None:
         self.owner, self.key, self.name = owner, key, name
-        self.lines: set[Line] = set()
-        self.idle: list[Line] = []  # the last used is used first, so that the others grow old and go
-        self.waiting: deque[Shot] = deque()  # for a connection, in turn; emptied as they come or do not
+        self.connections: set[Connection] = set()
+        self.idle: list[Connection] = []  # the last used is used first, so that the others grow old and go
+        self.waiting: deque[Attempt] = deque()  # for a connection, in turn; emptied as they come or do not
         self.coming = 0  # connections on their way
-        self.left = False  # it is off the roll: no line is kept
+        self.left = False  # it is off the roll: no connection is kept
 
-    def drop(self, line: Line) -> None:
-        self.lines.discard(line)
-        if line in self.idle:
-            self.idle.remove(line)
+    def drop(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
         self.owner.open -= 1
         self.strand()
-        self.owner.sweep_house(self)
+        self.owner.sweep_pool(self)
 
     def strand(self) -> None:
         """Who waits with no connection left or coming has waited for nothing."""
-        while self.waiting and not self.lines and not self.coming:
+        while self.waiting and not self.connections and not self.coming:
             self.waiting.popleft().finish(Ending.NO_CONNECTION)
 
-    def park(self, line: Line) -> None:
-        """A line has nothing out and owes nothing: to the first that waits and is wanted, or idle."""
-        while self.waiting and not line.closed:
-            shot = self.waiting.popleft()
-            if not shot.done and line.write(shot):
+    def park(self, connection: Connection) -> None:
+        """A connection has nothing out and owes nothing: to the first that waits and is wanted, or idle."""
+        while self.waiting and not connection.closed:
+            attempt = self.waiting.popleft()
+            if not attempt.done and connection.write(attempt):
                 return
         if self.left:
-            line.close()
-        elif not line.closed and line not in self.idle:
-            self.idle.append(line)
+            connection.close()
+        elif not connection.closed and connection not in self.idle:
+            self.idle.append(connection)
 
-    def rest(self, line: Line) -> None:
-        """A line has answered all: idle, for a while with nothing to do."""
+    def rest(self, connection: Connection) -> None:
+        """A connection has answered all: idle, for a while with nothing to do."""
         if self.left:
-            line.close()
-        elif not line.closed:
-            line.idle_since = time.monotonic()
-            line.rests_until = line.idle_since + REST
-            self.idle.append(line)
+            connection.close()
+        elif not connection.closed:
+            connection.idle_since = time.monotonic()
+            connection.rests_until = connection.idle_since + REST
+            self.idle.append(connection)
             if self.waiting:
                 self.owner.loop.call_later(REST, self.rested)
 
     def rested(self) -> None:
         """Who waits is served by those that have rested. The loop's clock stands still within a turn, and so
         its timers come some milliseconds early: who has not quite rested is looked at again."""
-        while self.waiting and (line := self.take_idle()):
-            self.park(line)
+        while self.waiting and (connection := self.take_idle()):
+            self.park(connection)
         if self.waiting and self.idle:
-            left = min(line.rests_until for line in self.idle) - time.monotonic()
+            left = min(connection.rests_until for connection in self.idle) - time.monotonic()
             self.owner.loop.call_later(max(0.001, left), self.rested)
 
-    def take_idle(self) -> Line | None:
+    def take_idle(self) -> Connection | None:
         """The last used of those that have rested, unless the node has ended it or is about to, or sent more
         than it owed."""
-        now, fresh = time.monotonic(), list[Line]()
+        now, fresh = time.monotonic(), list[Connection]()
         found = None
         while self.idle and not found:
-            line = self.idle.pop()
-            if now < line.rests_until:
-                fresh.append(line)
-            elif now - line.idle_since < self.owner.retire_after and line.silent():
-                found = line
+            connection = self.idle.pop()
+            if now < connection.rests_until:
+                fresh.append(connection)
+            elif now - connection.idle_since < self.owner.retire_after and connection.silent():
+                found = connection
             else:
-                line.close()
+                connection.close()
         self.idle += reversed(fresh)
         return found
 
@@ -288,7 +289,7 @@
         self.loop, self.most, self.grown = asyncio.get_running_loop(), most, resp.Allowance(buffers)
         # Nodes give values beyond PROTOCOL's 64 KiB: what memory allows is taken, eight of the largest.
         self.most_value = max(resp.MOST_VALUE, buffers // 8)
-        self.houses: dict[Key, House] = {}  # emptied as nodes leave the roll
+        self.pools: dict[Key, ConnectionPool] = {}  # emptied as nodes leave the roll
         self.open = self.peak = self.opened = 0  # now, at most, and since the start
         self.opening: set[asyncio.Task[None]] = set()  # each goes when its connection is up or not
         self.connect_timeout = orders.get("connect_timeout", 1.0)
@@ -297,7 +298,7 @@
         self.retire_after = orders.get("connection_idle", 10.0) / 2
         self.fields = [REPORTED.get(name, name) for name in orders.get("report_fields", ())]
 
-    def shoot(
+    def send(
         self,
         key: Key,
         name: str,
@@ -305,66 +306,66 @@
         ended: Ended,
         probe: bool = False,
         mark: str = "",
-    ) -> Shot:
-        """Begin a shot: ``tries`` gives its bytes when it can be written, None if it is not wanted then."""
-        house = self.houses.get(key)
-        if house is None:
-            house = self.houses[key] = House(self, key, name)
-        shot = Shot(tries, ended, probe, mark)
-        if line := house.take_idle():
-            if not line.write(shot):
-                house.park(line)
+    ) -> Attempt:
+        """Begin an attempt: ``tries`` gives its bytes when it can be written, None if it is unwanted then."""
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self.pools[key] = ConnectionPool(self, key, name)
+        attempt = Attempt(tries, ended, probe, mark)
+        if connection := pool.take_idle():
+            if not connection.write(attempt):
+                pool.park(connection)
         elif self.open < self.most or self.spare():
-            house.waiting.append(shot)
+            pool.waiting.append(attempt)
             self.open += 1
             self.opened += 1
             self.peak = max(self.peak, self.open)
-            house.coming += 1
-            task = asyncio.ensure_future(self.connect(house, shot))
+            pool.coming += 1
+            task = asyncio.ensure_future(self.connect(pool, attempt))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
         else:
-            lines = [line for line in house.lines if line.shots and line.takes(self.streams)]
-            if lines:
-                min(lines, key=lambda line: len(line.shots)).write(shot)
-            elif house.coming or house.idle:
-                house.waiting.append(shot)
-                if house.idle:
-                    self.loop.call_later(REST, house.rested)
+            shared = [each for each in pool.connections if each.attempts and each.takes(self.streams)]
+            if shared:
+                min(shared, key=lambda each: len(each.attempts)).write(attempt)
+            elif pool.coming or pool.idle:
+                pool.waiting.append(attempt)
+                if pool.idle:
+                    self.loop.call_later(REST, pool.rested)
             else:
                 say("no_descriptor", logging.WARNING, open=self.open)
-                shot.finish(Ending.NOT_SENT)
-        return shot
+                attempt.finish(Ending.NOT_SENT)
+        return attempt
 
     def probe(self, key: Key, name: str, patience: float, ended: Ended) -> None:
-        shot = self.shoot(key, name, lambda: PING, ended, probe=True)
-        if not shot.done:
-            shot.timer = self.loop.call_later(patience, shot.give_up, Ending.TIMED_OUT)
+        attempt = self.send(key, name, lambda: PING, ended, probe=True)
+        if not attempt.done:
+            attempt.timer = self.loop.call_later(patience, attempt.give_up, Ending.TIMED_OUT)
 
-    async def connect(self, house: House, shot: Shot) -> None:
-        where = house.key[1]
+    async def connect(self, pool: ConnectionPool, attempt: Attempt) -> None:
+        where = pool.key[1]
         sock = None
         try:
             sock = opened(where)
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, where)
         except BaseException as trouble:
-            house.coming -= 1
+            pool.coming -= 1
             self.open -= 1
             if sock:
                 sock.close()
             if not isinstance(trouble, OSError | TimeoutError):
                 raise
-            if shot in house.waiting:
-                house.waiting.remove(shot)
-                shot.finish(Ending.NO_CONNECTION)
-            house.strand()
-            self.sweep_house(house)
+            if attempt in pool.waiting:
+                pool.waiting.remove(attempt)
+                attempt.finish(Ending.NO_CONNECTION)
+            pool.strand()
+            self.sweep_pool(pool)
         else:
-            house.coming -= 1
-            line = Line(house, sock)
-            house.lines.add(line)
-            house.park(line)
+            pool.coming -= 1
+            connection = Connection(pool, sock)
+            pool.connections.add(connection)
+            pool.park(connection)
 
     def understood(self, reply: resp.Reply) -> tuple[Ending, memoryview | None, Sequence[float] | None]:
         """What a node's answer means; Broken if it can't be read."""
@@ -378,7 +379,7 @@
                     return Ending.TURNED_AWAY, None, None
                 case b"ERR":
                     return Ending.ERROR, None, self.report(text.rpartition(b" ")[2])
-        raise resp.Broken("no answer to a shot looks so")
+        raise resp.Broken("no answer to an attempt looks so")
 
     def report(self, text: bytes | memoryview | None) -> Sequence[float] | None:
         """A load report in the order of the settings; a broken one is none."""
@@ -392,37 +393,37 @@
         return figures if all(0 <= figure < 1e9 for figure in figures) else None
 
     def spare(self) -> bool:
-        """Close the longest idle line to make room; false if there is none."""
-        idle = [house.idle[0] for house in self.houses.values() if house.idle]
+        """Close the longest idle connection to make room; false if there is none."""
+        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
         if idle:
-            min(idle, key=lambda line: line.idle_since).close()
+            min(idle, key=lambda connection: connection.idle_since).close()
         return bool(idle)
 
     def keep(self, listed: set[Key]) -> None:
-        """The roll changed: who is not listed keeps no idle line."""
-        for key, house in list(self.houses.items()):
-            house.left = key not in listed
-            while house.left and house.idle:
-                house.idle[-1].close()
-            self.sweep_house(house)
+        """The roll changed: who is not listed keeps no idle connection."""
+        for key, pool in list(self.pools.items()):
+            pool.left = key not in listed
+            while pool.left and pool.idle:
+                pool.idle[-1].close()
+            self.sweep_pool(pool)
 
-    def sweep_house(self, house: House) -> None:
-        if house.left and not house.lines and not house.waiting:
-            self.houses.pop(house.key, None)
+    def sweep_pool(self, pool: ConnectionPool) -> None:
+        if pool.left and not pool.connections and not pool.waiting:
+            self.pools.pop(pool.key, None)
 
     def sweep(self) -> None:
-        """Now and then: lines idle for too long go, before the node ends them."""
+        """Now and then: connections idle for too long go, before the node ends them."""
         before = time.monotonic() - self.retire_after
-        for house in list(self.houses.values()):
-            while house.idle and house.idle[0].idle_since < before:
-                house.idle[0].close()
+        for pool in list(self.pools.values()):
+            while pool.idle and pool.idle[0].idle_since < before:
+                pool.idle[0].close()
 
     def close(self) -> None:
         for task in self.opening:
             task.cancel()
-        for house in list(self.houses.values()):
-            for line in list(house.lines):
-                line.close()
+        for pool in list(self.pools.values()):
+            for connection in list(pool.connections):
+                connection.close()
 
 
 # The settings name a report's fields as the simulator does; a node names them so.
