--- a/gatebank/net/customers.py
+++ b/gatebank/net/clients.py
@@ -1,7 +1,8 @@
-"""The server side: customers' connections, their commands and the order of their answers.
+"""The server side: clients' connections, their commands and the order of their answers.
 
-Customers owns the listener and a row a connection; a Line owns its socket, buffer and tasks, and gives them
-back in `close`, the one place. What is asked goes to the exchange with a Slot, which takes the answer.
+Clients owns the listener and a row a connection; a Connection owns its socket, buffer and tasks, and gives
+them back in `close`, the one place. What is asked goes to the exchange with a PendingReply, which takes the
+answer. A client is who connects; the account that it names with `t` is a tenant.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 
 IN_HAND = 64  # commands of a connection before it is read on
 LOOK = 0.1  # s between looks at the clocks below
-# s for a first command, without a byte more of a begun one, and for the whole of it: some customers write
+# s for a first command, without a byte more of a begun one, and for the whole of it: some clients write
 # slowly, in pieces; 3 s are allowed in all.
 HALF, WHOLE = 1.2, 2.5
 SETTLED = 1.2  # s that what is in hand has, once something behind it could not be read
@@ -51,13 +52,13 @@
 
 
 class Asked:
-    """An invocation as a customer wrote it, copied: it outlives the buffer, as it may need several shots.
+    """An invocation as a client wrote it, copied: it outlives the buffer, as it may need several shots.
     It is checked against the form that PROTOCOL gives, since a node closes on what it can't use, or turns it
     away, and neither the node nor its build would be at fault."""
 
-    __slots__ = ("cost_guess", "customer", "id", "key", "left", "parts", "repeated", "size", "workload")
+    __slots__ = ("cost_guess", "id", "key", "left", "parts", "repeated", "size", "tenant", "workload")
 
-    def __init__(self, words: Sequence[memoryview], workloads: Kinds, customers: Mapping[str, int]) -> None:
+    def __init__(self, words: Sequence[memoryview], workloads: Kinds, tenants: Mapping[str, int]) -> None:
         if len(words) < 4 or not words[1] or not words[2]:
             raise Senseless("a command needs a key, an id and names and values")
         told = bytes(words[3]).decode("utf-8", "surrogateescape").split(",")  # unknown names pass unchanged
@@ -67,10 +68,10 @@
             raise Senseless("a name stands twice")
         if names.get("c") not in workloads:
             raise Senseless("no such workload")
-        if customers and names.get("t") not in customers:
-            raise Senseless("no such customer")
+        if tenants and names.get("t") not in tenants:
+            raise Senseless("no such tenant")
         self.workload, repeats = workloads[names["c"]]
-        self.customer = customers.get(names.get("t", ""), 0)
+        self.tenant = tenants.get(names.get("t", ""), 0)
         if (bytes(words[0][:16]).upper(), len(words)) != FORMS[repeats is Repeats.RERUNNABLE]:
             raise Senseless("this workload takes another command, or a body where there is none")
         if repeats is Repeats.TICKETED and not names.get("k"):
@@ -120,20 +121,20 @@
 
 
 class Door(Protocol):
-    """What the exchange offers to customers."""
+    """What the exchange offers to clients."""
 
-    def invoked(self, asked: Asked, slot: Slot) -> None: ...
-    def customer_left(self, slot: Slot) -> None: ...
-    def give_up(self, slot: Slot) -> None: ...
+    def invoked(self, asked: Asked, reply: PendingReply) -> None: ...
+    def client_left(self, reply: PendingReply) -> None: ...
+    def give_up(self, reply: PendingReply) -> None: ...
 
 
-class Slot:
+class PendingReply:
     """The place of one answer among those of its connection."""
 
-    __slots__ = ("held", "line", "mark", "parts")
+    __slots__ = ("connection", "held", "mark", "parts")
 
-    def __init__(self, line: Line) -> None:
-        self.line, self.held = line, None  # held: the exchange's own
+    def __init__(self, connection: Connection) -> None:
+        self.connection, self.held = connection, None  # held: the exchange's own
         self.mark: bytes | None = None  # the invocation's id, for a recording
         self.parts: Sequence[bytes | memoryview] | None = None
 
@@ -147,19 +148,19 @@
         self.answer([f"-ERR {why}\r\n".encode()])
 
     def answer(self, parts: Sequence[bytes | memoryview]) -> None:
-        first = bool(self.line.slots) and self.line.slots[0] is self
+        first = bool(self.connection.replies) and self.connection.replies[0] is self
         self.parts = parts if first else [bytes(part) for part in parts]  # it waits, and its buffer does not
         if first:
-            self.line.flush()
+            self.connection.flush()
 
 
-class Line:
-    """A customer's connection."""
+class Connection:
+    """A client's connection."""
 
-    def __init__(self, owner: Customers, sock: socket.socket) -> None:
+    def __init__(self, owner: Clients, sock: socket.socket) -> None:
         self.owner, self.sock = owner, sock
         self.inbox = resp.Inbox(owner.grown)
-        self.slots: deque[Slot] = deque()  # in the order of the commands; emptied by answers, or by `close`
+        self.replies: deque[PendingReply] = deque()  # as commands came; emptied by answers, or by `close`
         self.rest = b""  # of answers, not yet taken
         self.since = owner.loop.time()  # it came, had its last answer, or could not be read on
         self.begun = self.came = 0.0  # since when a part of a command is held, and when its last bytes came
@@ -174,7 +175,7 @@
 
     @property
     def idle(self) -> bool:
-        return not self.slots and not self.rest
+        return not self.replies and not self.rest
 
     def unread(self) -> bool:
         """Bytes that may hold a whole command wait: in the kernel, in a read that ended before its task went
@@ -200,7 +201,7 @@
                     self.tape.asked(bytes(inbox.data[inbox.end - size : inbox.end]))
                 taken = 0
                 for words in inbox.commands():
-                    while len(self.slots) >= IN_HAND or self.rest:
+                    while len(self.replies) >= IN_HAND or self.rest:
                         self.free.clear()
                         await self.free.wait()
                     self.take(words)
@@ -222,13 +223,13 @@
                 self.close()
 
     def departed(self) -> None:
-        """The customer has closed its connection, or ended its sending on it: TCP does not tell which. It has
+        """The client has closed its connection, or ended its sending on it: TCP does not tell which. It has
         gone (PROTOCOL): nothing more is sent for what is in hand; if it still reads, it has its answers, also
         those that it has not taken yet: `look` or `taken` close behind them."""
-        for slot in list(self.slots):
-            self.owner.door.customer_left(slot)
-            if slot.parts is None:
-                slot.broken_off("its connection ended")
+        for reply in list(self.replies):
+            self.owner.door.client_left(reply)
+            if reply.parts is None:
+                reply.broken_off("its connection ended")
         if self.rest and not self.closed:
             self.ending, self.since = True, self.owner.loop.time()
             if self.reader is not asyncio.current_task():
@@ -240,10 +241,10 @@
         """One error line behind what is in hand; then nothing more is read, and `look` closes."""
         self.owner.broken(why)
         self.ending, self.since = True, self.owner.loop.time()
-        self.next_slot().broken_off(why)
+        self.next_reply().broken_off(why)
 
     def stop(self) -> None:
-        """Nothing more is read, and `look` closes: what waits unread is sent again by its customer."""
+        """Nothing more is read, and `look` closes: what waits unread is sent again by its client."""
         self.ending, self.since = True, self.owner.loop.time()
         self.reader.cancel()
         with suppress(OSError):
@@ -251,7 +252,7 @@
 
     def look(self, now: float, crowded: bool) -> None:
         """What time alone brings about."""
-        if (self.handling or self.ending) and self.slots and hung_up(self.sock):
+        if (self.handling or self.ending) and self.replies and hung_up(self.sock):
             self.departed()  # it is not being read, so that nobody else sees the end
         elif self.ending and self.idle:
             # So that the error line is read, or the end seen.
@@ -259,10 +260,10 @@
                 self.close()
         elif self.ending:
             if now - self.since >= SETTLED:  # its error line is due: what is in hand gets its final answer
-                self.since, slots = now, list(self.slots)
-                for slot in slots:
-                    self.owner.door.give_up(slot)
-                if not slots:  # it does not take its answers
+                self.since, replies = now, list(self.replies)
+                for reply in replies:
+                    self.owner.door.give_up(reply)
+                if not replies:  # it does not take its answers
                     self.close()
         elif self.begun:
             late = now - self.came >= HALF or now - self.begun >= WHOLE
@@ -276,41 +277,41 @@
 
     def take(self, words: list[memoryview]) -> None:
         name, self.spoke, self.begun = bytes(words[0][:16]).upper(), True, 0.0
-        slot = self.next_slot()
-        self.owner.lines[self] = self.owner.lines.pop(self, None)
+        reply = self.next_reply()
+        self.owner.connections[self] = self.owner.connections.pop(self, None)
         try:
             if name == b"PING":
-                slot.answer([b"+PONG\r\n"])
+                reply.answer([b"+PONG\r\n"])
             elif name in (b"Q.ASK", b"Q.DO"):
-                asked = Asked(words, self.owner.workloads, self.owner.customers)
-                slot.mark = asked.id
+                asked = Asked(words, self.owner.workloads, self.owner.tenants)
+                reply.mark = asked.id
                 if self.owner.time_left() < asked.left:  # it might meet SIGKILL; so far it has run nowhere
-                    slot.rejected(None)
+                    reply.rejected(None)
                 else:
-                    self.owner.door.invoked(asked, slot)
+                    self.owner.door.invoked(asked, reply)
             else:
                 raise Senseless("unknown command")
             self.senseless = 0
         except Senseless as trouble:
-            slot.broken_off(str(trouble))
+            reply.broken_off(str(trouble))
             self.senseless += 1
             if self.senseless >= SENSELESS:
                 raise resp.Broken("too many commands without sense") from trouble
 
-    def next_slot(self) -> Slot:
-        slot = Slot(self)
-        self.slots.append(slot)
-        return slot
+    def next_reply(self) -> PendingReply:
+        reply = PendingReply(self)
+        self.replies.append(reply)
+        return reply
 
     def flush(self) -> None:
         """Send the answers whose turn it is."""
         parts: list[bytes | memoryview] = []
         comments: list[str] = []
-        while self.slots and self.slots[0].parts is not None:
-            slot = self.slots.popleft()
-            parts += slot.parts or ()
-            if self.tape and slot.mark is not None and slot.parts:
-                comments.append(f"invocation {slot.mark.decode(errors='replace')} {ended(slot.parts[0])}")
+        while self.replies and self.replies[0].parts is not None:
+            reply = self.replies.popleft()
+            parts += reply.parts or ()
+            if self.tape and reply.mark is not None and reply.parts:
+                comments.append(f"invocation {reply.mark.decode(errors='replace')} {ended(reply.parts[0])}")
         if self.closed or not parts:
             return
         if self.rest:
@@ -345,8 +346,8 @@
         self.rest += data
         self.owner.owed += len(data)
         if self.owner.owed > self.owner.most_owed:  # who takes least of its answers goes
-            worst = max(self.owner.lines, key=lambda line: len(line.rest))
-            say("customer_cut", logging.WARNING, why="too many bytes owed", owed=self.owner.owed)
+            worst = max(self.owner.connections, key=lambda each: len(each.rest))
+            say("client_cut", logging.WARNING, why="too many bytes owed", owed=self.owner.owed)
             self.owner.cut(worst)
 
     async def write(self) -> None:
@@ -368,18 +369,18 @@
         if self.closed:
             return
         self.closed = True
-        self.owner.lines.pop(self, None)
+        self.owner.connections.pop(self, None)
         self.owner.owed -= len(self.rest)
         self.rest = b""
         self.inbox.close()
         if self.tape:
-            by_customer = waiting(self.sock) < 0
-            self.tape.ended(0 if by_customer else 1)
+            by_client = waiting(self.sock) < 0
+            self.tape.ended(0 if by_client else 1)
         give_back(self.sock, self.reader, self.writer)
-        while self.slots:
-            slot = self.slots.popleft()
-            if slot.parts is None:
-                self.owner.door.customer_left(slot)
+        while self.replies:
+            reply = self.replies.popleft()
+            if reply.parts is None:
+                self.owner.door.client_left(reply)
 
 
 def ended(first: bytes | memoryview) -> str:
@@ -389,16 +390,16 @@
     return "rejected" if first[:5] == b"-BUSY" else "broken off"
 
 
-class Customers:
+class Clients:
     record: Record | None = None  # makes the tape of a connection
 
     def __init__(self, orders: Mapping[str, Any], door: Door, most: int, bounds: Bounds) -> None:
         self.loop, self.door, self.most = asyncio.get_running_loop(), door, most
         self.most_owed, self.grown = bounds.answers, resp.Allowance(bounds.buffers)
         self.workloads = {each["name"]: (i, each["repeats"]) for i, each in enumerate(orders["workloads"])}
-        self.customers = {each.get("name", str(i)): i for i, each in enumerate(orders["customers"])}
-        # A row a connection, the longest unused first; each goes with `Line.close`.
-        self.lines: dict[Line, None] = {}
+        self.tenants = {each.get("name", str(i)): i for i, each in enumerate(orders["customers"])}
+        # A row a connection, the longest unused first; each goes with `Connection.close`.
+        self.connections: dict[Connection, None] = {}
         self.owed, self.peak, self.leaving = 0, 0, False
         self.told_at: float | None = None  # when SIGTERM came
         limits = [min(LONGEST, each.get("time_limit", LONGEST)) for each in orders["workloads"]]
@@ -423,64 +424,66 @@
                 await asyncio.sleep(0.05)
                 continue
             newest = self.welcome(sock)
-            while len(self.lines) > self.most and not self.spare(newest):
+            while len(self.connections) > self.most and not self.spare(newest):
                 await asyncio.sleep(0.01)  # the next wait in the backlog until one is idle
 
-    def welcome(self, sock: socket.socket) -> Line:
+    def welcome(self, sock: socket.socket) -> Connection:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        line = Line(self, sock)
-        self.lines[line] = None
-        self.peak = max(self.peak, len(self.lines))
-        return line
+        connection = Connection(self, sock)
+        self.connections[connection] = None
+        self.peak = max(self.peak, len(self.connections))
+        return connection
 
     async def tend(self) -> None:
         while True:
             await asyncio.sleep(LOOK)
-            now, crowded = self.loop.time(), 2 * len(self.lines) > self.most
-            for line in list(self.lines):
-                line.look(now, crowded)
+            now, crowded = self.loop.time(), 2 * len(self.connections) > self.most
+            for connection in list(self.connections):
+                connection.look(now, crowded)
             self.thin()
 
     def thin(self) -> None:
-        """Customers may hold a third of the descriptors for what they ask, and some keep for good what they
+        """Clients may hold a third of the descriptors for what they ask, and some keep for good what they
         asked once with: of those idle the longest unused go, so that others still find a connection."""
-        idle = [line for line in self.lines if line.idle and line.spoke and not line.ending]
-        for line in idle[: max(0, len(idle) - self.most // 3)]:  # a third of ours: a sixth of the descriptors
-            if not line.begun and not line.owes(self.loop.time()):
-                line.close()
+        idle = [each for each in self.connections if each.idle and each.spoke and not each.ending]
+        for each in idle[: max(0, len(idle) - self.most // 3)]:  # a third of ours: a sixth of the descriptors
+            if not each.begun and not each.owes(self.loop.time()):
+                each.close()
 
-    def spare(self, newest: Line | None) -> bool:
+    def spare(self, newest: Connection | None) -> bool:
         """Make room: first who can't be read or has had time to speak and did not, as those that only connect
         must not take the place of the usual ones; then the longest idle, but never the newest."""
-        now, idle = self.loop.time(), [line for line in self.lines if line.idle and line is not newest]
-        mute = [line for line in idle if line.ending or (not line.spoke and now - line.since >= FRESH)]
-        spoke = [line for line in idle if line.spoke and not line.ending]
-        line = next((line for line in mute + spoke if line.ending or not line.owes(now)), None)
-        if line:
-            line.close()
-        return line is not None
+        now = self.loop.time()
+        idle = [each for each in self.connections if each.idle and each is not newest]
+        mute = [each for each in idle if each.ending or (not each.spoke and now - each.since >= FRESH)]
+        spoke = [each for each in idle if each.spoke and not each.ending]
+        found = next((each for each in mute + spoke if each.ending or not each.owes(now)), None)
+        if found:
+            found.close()
+        return found is not None
 
     def broken(self, why: str) -> None:
         """Count who sent what is no command; a line a second tells of it, or a flood would fill the log."""
         self.unread += 1
         if self.loop.time() >= self.said_at + 1.0:
             self.said_at = self.loop.time()
-            say("customer_broken", logging.WARNING, why=why, so_far=self.unread)
+            say("client_broken", logging.WARNING, why=why, so_far=self.unread)
 
-    def cut(self, line: Line) -> None:
+    def cut(self, connection: Connection) -> None:
         """Close it, but not amid what is being done to it."""
-        self.loop.call_soon(line.close)
+        self.loop.call_soon(connection.close)
 
-    def settle(self, line: Line) -> None:
-        """An answer is out: while this marshal leaves, a line ends when it is idle."""
-        if not self.leaving or not line.idle or line.ending:
+    def settle(self, connection: Connection) -> None:
+        """An answer is out: while this marshal leaves, a connection ends when it is idle."""
+        if not self.leaving or not connection.idle or connection.ending:
             return
-        if not line.begun and not line.owes(self.loop.time()):
-            if line.spoke or self.loop.time() - line.since >= FRESH:  # it has just come, and may be about to
-                line.close()
-        elif self.time_left() < PARTING and not line.handling and not line.reading.done:
-            line.stop()
+        if not connection.begun and not connection.owes(self.loop.time()):
+            # Who has just come may be about to speak.
+            if connection.spoke or self.loop.time() - connection.since >= FRESH:
+                connection.close()
+        elif self.time_left() < PARTING and not connection.handling and not connection.reading.done:
+            connection.stop()
 
     def time_left(self) -> float:
         """Until SIGKILL may come; no end is in sight before SIGTERM."""
@@ -492,9 +495,9 @@
         await asyncio.sleep(NOTICED)
         await self.shut()
         self.leaving = True
-        while self.lines:
-            for line in list(self.lines):
-                self.settle(line)
+        while self.connections:
+            for connection in list(self.connections):
+                self.settle(connection)
             await asyncio.sleep(0.02)
 
     async def shut(self) -> None:
@@ -525,5 +528,5 @@
         if self.listener:
             self.listener.close()
         self.listener = None
-        for line in list(self.lines):
-            line.close()
+        for connection in list(self.connections):
+            connection.close()
--- a/gatebank/net/exchange.py
+++ b/gatebank/net/exchange.py
@@ -37,7 +37,7 @@
     Wake,
     Withdraw,
 )
-from gatebank.net.customers import Asked, Senseless, Slot
+from gatebank.net.clients import Asked, PendingReply, Senseless
 from gatebank.net.desk import Desk
 from gatebank.net.log import LOG, say
 from gatebank.net.nodes import Attempt, Key, Nodes
@@ -61,10 +61,10 @@
 class Held:
     """An invocation in hand; its row goes when it is answered and no shot of it is out."""
 
-    __slots__ = ("answered", "asked", "deadline", "number", "out", "shots", "slot", "timer")
+    __slots__ = ("answered", "asked", "deadline", "number", "out", "reply", "shots", "timer")
 
-    def __init__(self, number: int, asked: Asked, slot: Slot, deadline: float) -> None:
-        self.number, self.asked, self.slot, self.deadline = number, asked, slot, deadline
+    def __init__(self, number: int, asked: Asked, reply: PendingReply, deadline: float) -> None:
+        self.number, self.asked, self.reply, self.deadline = number, asked, reply, deadline
         self.shots: list[Attempt | None] = []
         self.out, self.answered = 0, False
         self.timer: asyncio.TimerHandle | None = None
@@ -127,7 +127,7 @@
     def abandon(self, held: Held) -> None:
         """A final answer in the marshal's stead, which then forgets the invocation."""
         if not held.answered:
-            held.slot.broken_off("broken off")
+            held.reply.broken_off("broken off")
             self.forget(held, "abandoned")
 
     def forget(self, held: Held, why: str) -> None:
@@ -144,30 +144,30 @@
         if news:
             self.desk.take(news)
 
-    def invoked(self, asked: Asked, slot: Slot) -> None:
+    def invoked(self, asked: Asked, reply: PendingReply) -> None:
         if asked.id in self.ids:  # a customer's own has a new one each time: this one is another's
             raise Senseless("this id is in hand")
         if self.held_bytes + asked.size + ROW > self.most_held:
             self.count("overfull")
-            slot.rejected(None)
+            reply.rejected(None)
             return
         self.ids.add(asked.id)
         self.count("repeated" if asked.repeated else "first tries")
         number = self.free.pop() if self.free else len(self.held)
-        held = Held(number, asked, slot, self.clock() + asked.left)
-        self.held[number] = slot.held = held
+        held = Held(number, asked, reply, self.clock() + asked.left)
+        self.held[number] = reply.held = held
         self.held_bytes += asked.size + ROW
         held.timer = self.loop.call_later(asked.left, self.time_is_up, held)
-        fields = (asked.workload, asked.customer, asked.left, asked.cost_guess, asked.key, asked.repeated)
+        fields = (asked.workload, asked.tenant, asked.left, asked.cost_guess, asked.key, asked.repeated)
         self.turn(self.marshal.on_invocation, Invocation(number, *fields))
 
-    def give_up(self, slot: Slot) -> None:
+    def give_up(self, reply: PendingReply) -> None:
         """Its connection must end, and its customer have an answer before."""
-        if slot.held:
-            self.abandon(slot.held)
+        if reply.held:
+            self.abandon(reply.held)
 
-    def customer_left(self, slot: Slot) -> None:
-        held = slot.held
+    def client_left(self, reply: PendingReply) -> None:
+        held = reply.held
         if held and not held.answered:
             self.forget(held, "left")
 
@@ -195,7 +195,7 @@
         held.shots[number] = None
         self.count(ending.value)
         if ending is Ending.SATISFIED and value is not None and not held.answered:
-            held.slot.satisfied(value)
+            held.reply.satisfied(value)
             self.answered(held, "satisfied")
         if LOG.isEnabledFor(logging.DEBUG):
             keys = {"node": self.register.names[node], "workload": held.asked.workload, "took": took}
@@ -260,9 +260,9 @@
                 if held and held.shots[shot]:
                     held.shots[shot].give_up(Ending.WITHDRAWN)
             case Reject(number, back_in):
-                self.finish(number, lambda slot: slot.rejected(back_in), "rejected")
+                self.finish(number, lambda reply: reply.rejected(back_in), "rejected")
             case BreakOff(number):
-                self.finish(number, lambda slot: slot.broken_off("broken off"), "broken_off")
+                self.finish(number, lambda reply: reply.broken_off("broken off"), "broken_off")
             case Tell(peer, word):
                 if self.words:
                     self.words.tell(peer, word)
@@ -276,12 +276,12 @@
             case FollowRoll():
                 pass  # the roll is followed from the start
 
-    def finish(self, number: int, answer: Callable[[Slot], None], how: str) -> None:
+    def finish(self, number: int, answer: Callable[[PendingReply], None], how: str) -> None:
         held = self.held.get(number)
         if held and not held.answered:
             self.count(how)
             self.answered(held, how)
-            answer(held.slot)
+            answer(held.reply)
             self.settle(held)
 
     def answered(self, held: Held, how: str) -> None:
@@ -296,7 +296,7 @@
             del self.held[held.number]
             self.free.append(held.number)
             self.held_bytes -= held.asked.size + ROW
-            held.slot.held = None
+            held.reply.held = None
             if held.timer:
                 held.timer.cancel()
 
--- a/gatebank/net/service.py
+++ b/gatebank/net/service.py
@@ -15,7 +15,7 @@
 
 from gatebank.interface import RollEntry, StageNews
 from gatebank.net import launch
-from gatebank.net.customers import Customers
+from gatebank.net.clients import Clients
 from gatebank.net.desk import Desk, state
 from gatebank.net.exchange import Clock, Exchange
 from gatebank.net.launch import Posting, Unfit
@@ -56,25 +56,25 @@
 Others = Sequence[Standing | None]
 
 
-async def tend(exchange: Exchange, nodes: Nodes, customers: Customers, others: Others) -> None:
+async def tend(exchange: Exchange, nodes: Nodes, clients: Clients, others: Others) -> None:
     turns = 0
     while True:
         await asyncio.sleep(EVERY)
         nodes.sweep()
         turns += 1
         if turns % SAID == 0 or LOG.isEnabledFor(logging.DEBUG):
-            stand(exchange, nodes, customers, others)
+            stand(exchange, nodes, clients, others)
 
 
-def stand(exchange: Exchange, nodes: Nodes, customers: Customers, others: Others) -> None:
+def stand(exchange: Exchange, nodes: Nodes, clients: Clients, others: Others) -> None:
     memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
     counts = {name.replace(" ", "_"): number for name, number in sorted(exchange.counts.items())}
     say(
         "standing",
         in_hand=len(exchange.held),
-        customers=len(customers.lines),
-        customers_unread=customers.unread,
-        customers_peak=customers.peak,
+        clients=len(clients.connections),
+        clients_unread=clients.unread,
+        clients_peak=clients.peak,
         node_connections=nodes.open,
         node_connections_peak=nodes.peak,
         memory_mb=memory,
@@ -136,7 +136,7 @@
             self.end(what)
 
 
-async def heed(
+async def reload(
     told: asyncio.Event, environment: Mapping[str, str], following: Following, learning: Learning | None
 ) -> None:
     """After each SIGHUP: the file is read and checked whole; until it can be, what was told before stands."""
@@ -208,14 +208,14 @@
     exchange = Exchange(orders, posting.seed, clock, register, bounds.commands)
     room = posting.descriptors - ALSO
     nodes = exchange.nodes = Nodes(orders, room // 2, bounds.buffers)
-    customers = Customers(orders, exchange, room - room // 2, bounds)
+    clients = Clients(orders, exchange, room - room // 2, bounds)
     exchange.desk = desk = Desk(
         posting.desk, register, orders.get("vote_timeout", 2.0), clock, exchange.told, exchange.complained,
-        {name: index for name, (index, _) in customers.workloads.items()},
+        {name: index for name, (index, _) in clients.workloads.items()},
     )  # fmt: skip
     recorder = recorder_for(posting, operators)
     if recorder:
-        customers.record, nodes.record = recorder.customers, recorder.nodes
+        clients.record, nodes.record = recorder.clients, recorder.nodes
     leaving, told = asyncio.Event(), asyncio.Event()
     following = Following(exchange, register, desk)
     tasks: list[asyncio.Future[None]] = []
@@ -237,14 +237,14 @@
         loop.add_signal_handler(signal.SIGHUP, told.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # blocked by gatebank/early.py
         try:
-            customers.listen(posting.listen)
+            clients.listen(posting.listen)
         except OSError as trouble:
             raise Unfit(f"{posting.listen[0]}:{posting.listen[1]}: {trouble.strerror}") from trouble
         work: dict[str, Callable[[], Awaitable[None]]] = {
-            "accept": customers.accept,
-            "tend": lambda: tend(exchange, nodes, customers, [recorder, learning]),
-            "look": customers.tend,
-            "heed": lambda: heed(told, environment, following, learning),
+            "accept": clients.accept,
+            "tend": lambda: tend(exchange, nodes, clients, [recorder, learning]),
+            "look": clients.tend,
+            "reload": lambda: reload(told, environment, following, learning),
         }
         if not learning:
             following.move(posting, version)
@@ -254,8 +254,8 @@
         say("ready", name=posting.name, nodes=len(exchange.entries))
         await leaving.wait()
         say("leaving", in_hand=len(exchange.held))
-        await customers.leave()
-        stand(exchange, nodes, customers, [recorder, learning])
+        await clients.leave()
+        stand(exchange, nodes, clients, [recorder, learning])
         if learning:
             await learning.finish()
         say("gone", in_hand=len(exchange.held))
@@ -263,7 +263,7 @@
         for task in tasks:
             task.cancel()
         following.close()
-        customers.close()
+        clients.close()
         nodes.close()
         desk.close()
         if exchange.words:
--- a/gatebank/recording/recorder.py
+++ b/gatebank/recording/recorder.py
@@ -91,7 +91,7 @@
 
     # The service's side: none of this waits.
 
-    def customers(self, sock: socket.socket) -> Heard | None:
+    def clients(self, sock: socket.socket) -> Heard | None:
         """A customer's connection that was accepted; None if that side is not recorded."""
         return self.line("customer", sock, lambda: (sock.getpeername(), sock.getsockname()))
 
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection
 
 from gatebank.interface import RollEntry
-from gatebank.net.customers import Asked, Senseless
+from gatebank.net.clients import Asked, Senseless
 from gatebank.net.desk import Desk
 from gatebank.net.exchange import Clock, Exchange, Held
 from gatebank.net.launch import Posting
--- a/gatebank/standins/customers.py
+++ b/gatebank/standins/customers.py
@@ -45,7 +45,7 @@
                 if ending == "ended":
                     raise Unserved(
                         f"the marshal closed the connection after {found.total()} answers: it is leaving, or"
-                        " can't make sense of what it was sent; its log says which (event=customer_broken)"
+                        " can't make sense of what it was sent; its log says which (event=client_broken)"
                     )
                 found[f"{ending}: {text.decode(errors='replace')}"] += 1
                 await asyncio.sleep(PAUSE)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -47,7 +47,7 @@
 from typing import Any
 
 from gatebank.interface import Ending, Heard, Phase, Repeats, StageNews
-from gatebank.net.customers import Asked
+from gatebank.net.clients import Asked
 from gatebank.net.desk import Desk
 from gatebank.net.exchange import Clock, Exchange
 from gatebank.net.nodes import Attempt, Connection, ConnectionPool, Nodes
