--- a/gatebank/brain.py
+++ b/gatebank/brain.py
@@ -18,7 +18,7 @@
     NEVER_RAN, Act, BreakOff, BrokenOff, Condition, Ended, Ending, FollowRoll, Heard, Invocation, Lore, Note,
     Phase, Plain, Probe, Reject, Rejected, Repeats, RollEntry, Shoot, Shot, StageNews, StandingOrders, Tell,
     Verdict, Vote, Wait, Wake, Wish, Withdraw, Word)
-from gatebank.peers import COLD, EARLIER, ON_TRIAL, Fleet, Step, Totals, together
+from gatebank.peers import COLD, EARLIER, ON_TRIAL, Fleet, Step, Totals, short, together
 from gatebank.records import Node, Task, forget, learned
 
 BEAT = 0.25  # s between looks at what only time changes; a quarter of the design's 1 s remainder
@@ -67,7 +67,7 @@
         return Step(self.life, self.build, self.stage, ratio, level if value > 0 else -level, seen, mark)
 
     def hear(self, peer: int, word: Step | Totals) -> None:
-        if (word.build, word.stage) != (self.build, self.stage):
+        if (word.build, word.stage) != (short(self.build), self.stage):
             return
         row, sums = self.heard.setdefault((peer, word.life), {}), getattr(word, "sums", {})
         if isinstance(word, Step):  # totals hold whole sums: they heal lost, late and repeated steps
@@ -80,8 +80,7 @@
 
     def verdict(self, now: float, nodes: int, warm: int) -> Verdict:
         """The fused SPRT: back at A, on at -B or by the fallback. A sick machine is no bad build: the worst
-        third (for late, of the warm ones) counts for A/3 more than the rest at most, two slow of few for A
-        less. Harmful if few fail."""
+        third (late: of the warm) counts A/3 over the rest at most, two slow of few A. Harmful if few fail."""
         doubts = list(self.sums)
         for r, total in enumerate(self.sums):
             worst = ((warm if r == self.LATE else nodes) + 1) // 3 * (nodes > 1)
@@ -109,8 +108,8 @@
         # What is sent as it starts is not timed: its clock may stand until it has caught up with that start.
         self.present_time, self.woke_at, self.began = now, now + BEAT, now
         self.me, marshals, self.life = self.orders["me"], self.orders["marshals"], chance.getrandbits(16)
-        needed = max(told("on_votes", 1), told("back_votes", 1))
-        self.fusers = range(min(max(3, needed), marshals))  # the design's three, more where votes need them
+        self.fusers = range(min(3, marshals))  # the design's three; where votes need more, others follow them
+        self.needed = {Verdict.ON: told("on_votes", 1), Verdict.BACK: told("back_votes", 1)}
         self.acts: list[Act] = [FollowRoll()] * (told("roll_mode") == "ask") + [Wake(now + BEAT, "beat")]
         self.nodes: dict[int, Node] = {}  # as the roll has them
         self.ready: list[Node] = []  # those that may be sent to
@@ -142,6 +141,7 @@
         self.cast: tuple[Trial | None, Verdict] = (None, Verdict.NONE)
         self.leaning, self.leaning_since, self.fuser_heard = Verdict.NONE, now, now
         self.cast_again, self.voted, self.serial = now, now, count(1)
+        self.call = 1 / max(1, told("votes_per_second", 1e9))  # s that a vote takes the desk
         self.strict_until, self.told_sums = now, list[tuple[int, Totals]]()  # both set by `take_up` alone
 
     @property
@@ -282,9 +282,8 @@
         task = self.tasks.get(number)
         if sent := self.out.pop((number, ended.shot), None):
             self.learn(*sent, ended)
-            # An error is its node's and build's fault where another shot of the invocation is satisfied: what
-            # fails anywhere, whatever it has in common, shows no sick node and no bad build. An exclusive one
-            # has no other shot and counts. Harmful where hardly any node can serve a workload.
+            # An error is its node's and build's where another shot is satisfied: what fails anywhere
+            # is nobody's. An exclusive one has no other and counts. Harmful where hardly any node can serve.
             blamed, doubts = [(*sent, ended)], task.doubts if task else []
             if task and ended.ending is Ending.ERROR and task.orders["repeats"] is not Repeats.EXCLUSIVE:
                 task.doubts, blamed = doubts + blamed, []
@@ -454,8 +453,7 @@
             b, middle, slow = trial.build, self.groups.middle, attrgetter("slow")
             mates = middle("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
             others = middle("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
-            if self.beside:  # thin traffic shows a marshal no middle: most nodes it has not met lately
-                mates, others = self.beside, 1.0
+            mates, others = (self.beside, 1.0) if self.beside else (mates, others)  # thin traffic: no middle
         calm = self.calm_pace.get(key, (0.0, 0))[0] * (ending is Ending.SATISFIED)  # silence is not slowness
         if trial and timed and met and calm:
             # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
@@ -501,8 +499,7 @@
             self.acts.append(Tell(peer, word))
 
     def tell_totals(self) -> None:
-        """The design's remainder, as whole sums, and what this marshal does; to all from the first fuser
-        what all do: a marshal with little traffic sees too little of load and times by itself."""
+        """The design's remainder, as whole sums, and what this marshal does; the first fuser: what all do."""
         trial, here, times = self.trial, (0, 0), dict[tuple[int, int, int], tuple[float, float, float]]()
         for _, key, took, ok in self.ended:  # over two seconds
             was = times.get(key, (0.0, 0.0, 0.0))
@@ -515,7 +512,7 @@
             self.tell(peer, totals)
         if self.me in self.fusers and (self.me <= self.fleet_from or self.fleet_at < self.now - 2.5):
             rows = [row for row, at in self.reports.values() if at > self.now - 5.0]
-            self.hear_fleet(self.me, together([*rows, totals]))
+            self.hear_fleet(self.me, together([*rows, totals], self.leaning))
             self.tell(None, self.fleet)
 
     def hear_fleet(self, peer: int, word: Fleet) -> None:
@@ -616,19 +613,22 @@
         self.decide()
 
     def decide(self) -> None:
-        """Vote where it can count: the first fuser at once, the others only if that had no effect; a marshal
-        that has heard no fuser for 4 s by what it knows itself."""
-        trial, news = self.trial, self.news
-        rank, alone = min(self.me, len(self.fusers)), self.now - self.fuser_heard >= 4.0
-        waits = self.now < self.woke_at + BEAT or (rank == len(self.fusers) and not alone)
-        if not trial or not news or waits:
+        """Vote where it can count: the first fuser at once, the others if that had no effect; who heard no
+        fuser for 4 s by what it knows. Where more must vote, all do, by what the fusers found, in turn."""
+        trial, news, word, many = self.trial, self.news, self.fleet, max(self.needed.values()) > 3
+        own = self.me in self.fusers or self.now - self.fuser_heard >= 4.0
+        led = many and trial and word and (word.build, word.stage) == (short(trial.build), trial.stage)
+        if not trial or not news or self.now < self.woke_at + BEAT or not (own or led):
             return
-        mates, warm_up = self.groups.builds.get(trial.build, ()), self.orders["warm_up"]
-        verdict = trial.verdict(self.now, len(mates), self.groups.warm(mates, self.now, warm_up))
+        mates = self.groups.builds.get(trial.build, ())
+        warm = self.groups.warm(mates, self.now, self.orders["warm_up"])
+        verdict = trial.verdict(self.now, len(mates), warm) if own else Verdict(word.verdict)
         if verdict is not self.leaning:
             self.leaning, self.leaning_since = verdict, self.now
         standing = self.cast[1] if self.cast[0] is trial else Verdict.NONE
-        due = self.cast_again if verdict is standing else self.leaning_since + rank * 0.5
+        rank, needed = self.me if many else min(self.me, 3), max(1, self.needed.get(verdict, 1))
+        after = 0.5 * max(0, rank + 1 - needed) * min(1.0, 4 / needed) + many * rank * self.call
+        due = self.cast_again if verdict is standing else self.leaning_since + after
         due = due if verdict is Verdict.BACK else max(due, self.voted + 0.5)
         if self.now < due or (verdict is Verdict.NONE and standing is not Verdict.ON):
             return
--- a/gatebank/peers.py
+++ b/gatebank/peers.py
@@ -3,15 +3,16 @@
 A step is one LLR's message of the design: sign and rounded size as one signed level, and the outcomes since
 the last. Totals are a sender's whole sums and what it does: first tries a second, shots out, and by workload,
 kind of machine and side (below) shots satisfied a second, the time they took and the time of those given up.
-Fleet is the same of all marshals together. ``life`` tells one start of a marshal from others.
+Fleet is the same of all marshals together, with its sender's verdict on a build at a stage. ``life`` tells
+one start of a marshal from others.
 
 >>> step = Step(life=7, build=42, stage=1, ratio=0, level=-3, seen=12, mark=513)
 >>> decode(encode(step)) == step, len(encode(step))
 (True, 12)
 >>> does = {(0, 1, ON_TRIAL): (8.5, 0.25, 0.0)}
 >>> totals = Totals(7, 42, 1, rate=12.5, out=3, done=does, sums={0: (-1.25, 40), 4: (0.5, 3)})
->>> decode(encode(Fleet(360.0, 120.0, does))), len(encode(totals))
-(Fleet(rate=360.0, out=120.0, done={(0, 1, 1): (8.5, 0.25, 0.0)}), 29)
+>>> decode(encode(Fleet(360.0, 120.0, does, 42, 1, 3))), len(encode(totals))
+(Fleet(rate=360.0, out=120.0, done={(0, 1, 1): (8.5, 0.25, 0.0)}, build=42, stage=1, verdict=3), 29)
 >>> decode(encode(totals)) == totals, decode(encode(totals)[:-1]), decode(b"")
 (True, None, None)
 """
@@ -24,8 +25,9 @@
 from zlib import crc32
 
 HEAD, STEP = struct.Struct("<BHHB"), struct.Struct("<BbHH")
-DOES, ROW, DONE, FLEET = (struct.Struct(form) for form in ("<eeB", "<BeH", "<BBeee", "<Bff"))
-IS_STEP, ARE_TOTALS, IS_FLEET = 1, 4, 5  # 2 and 3 were these without kind and side: dropped and counted
+DOES, ROW, DONE, FLEET = (struct.Struct(form) for form in ("<eeB", "<BeH", "<BBeee", "<BffHBB"))
+IS_STEP, ARE_TOTALS, IS_FLEET = 1, 4, 6  # 2, 3, 5 were these without kind, side, verdict: dropped, counted
+MOST_VERDICT = 3
 MOST_BYTES, MOST = 256, 65000.0  # the largest number in two bytes
 EARLIER, ON_TRIAL, COLD = 0, 1, 2  # sides: an earlier build, the one on trial, any that started just now
 Done = dict[tuple[int, int, int], tuple[float, float, float]]  # by workload, kind and side
@@ -34,7 +36,7 @@
 @dataclass(slots=True, frozen=True)
 class Step:
     life: int
-    build: int
+    build: int  # the last 16 bits of its number, as in the words below
     stage: int
     ratio: int
     level: int
@@ -58,6 +60,9 @@
     rate: float
     out: float
     done: Done
+    build: int = 0
+    stage: int = 0
+    verdict: int = 0  # interface.Verdict
 
     def by_workload(self, many: int) -> list[tuple[float, float]]:
         """Answers a second and the time they took.
@@ -97,24 +102,34 @@
     return crc32(name.encode()) & 0xFFFF
 
 
-def together(rows: list[Totals]) -> Fleet:
-    """The sums of what each does.
+def together(rows: list[Totals], verdict: int = 0) -> Fleet:
+    """The sums of what each does, and a verdict on what the last judges.
 
     >>> one, two = {(0, 0, 0): (2.0, 0.5, 0.0)}, {(0, 0, 0): (1.0, 1.5, 3.0)}
-    >>> together([Totals(1, 0, 0, 2.0, 1, one, {}), Totals(2, 0, 0, 1.0, 2, two, {})])
-    Fleet(rate=3.0, out=3, done={(0, 0, 0): (3.0, 2.0, 3.0)})
+    >>> together([Totals(1, 0, 0, 2.0, 1, one, {}), Totals(2, 7, 1, 1.0, 2, two, {})], 1)
+    Fleet(rate=3.0, out=3, done={(0, 0, 0): (3.0, 2.0, 3.0)}, build=7, stage=1, verdict=1)
     """
     done: Done = {}
     for row in rows:
         for key, figures in row.done.items():
             was = done.get(key, (0.0, 0.0, 0.0))
             done[key] = (was[0] + figures[0], was[1] + figures[1], was[2] + figures[2])
-    return Fleet(sum(row.rate for row in rows), sum(row.out for row in rows), done)
+    rate, out = sum(row.rate for row in rows), sum(row.out for row in rows)
+    return Fleet(rate, out, done, rows[-1].build, rows[-1].stage, verdict)
+
+
+def short(build: int) -> int:
+    """A build's number as words hold it.
+
+    >>> decode(encode(Step(7, 20261202, 0, 0, 1, 1, 1))).build == short(20261202)
+    True
+    """
+    return build & 0xFFFF
 
 
 def encode(word: Step | Totals | Fleet) -> bytes:
     if isinstance(word, Step):
-        head = HEAD.pack(IS_STEP, word.life, word.build, word.stage)
+        head = HEAD.pack(IS_STEP, word.life, short(word.build), word.stage)
         return head + STEP.pack(word.ratio, word.level, min(word.seen, 65535), word.mark)
     rows = islice((row for row in word.done.items() if row[0][0] < 256 and row[0][1] < 64), 24)
     done = b"".join(
@@ -122,9 +137,10 @@
         for (workload, kind, side), each in rows
     )
     if isinstance(word, Fleet):
-        return FLEET.pack(IS_FLEET, word.rate, word.out) + done
+        head = FLEET.pack(IS_FLEET, word.rate, word.out, short(word.build), word.stage, word.verdict)
+        return head + done
     sums = [ROW.pack(r, max(-MOST, min(MOST, v)), min(seen, 65535)) for r, (v, seen) in word.sums.items()]
-    head = HEAD.pack(ARE_TOTALS, word.life, word.build, word.stage)
+    head = HEAD.pack(ARE_TOTALS, word.life, short(word.build), word.stage)
     does = DOES.pack(min(MOST, word.rate), min(MOST, word.out), len(done) // DONE.size)
     room = (MOST_BYTES - len(head + does + done)) // ROW.size
     return head + does + done + b"".join(sums[:room])
@@ -134,9 +150,10 @@
     """The word, or None where the bytes are malformed or hold what no marshal would send."""
     try:
         if data[:1] == bytes((IS_FLEET,)):
-            _, rate, out = FLEET.unpack_from(data)
+            _, rate, out, build, stage, verdict = FLEET.unpack_from(data)
             done = unpacked(data[FLEET.size :])
-            return Fleet(rate, out, done) if sound(rate, out, *chain(*done.values())) else None
+            fits = verdict <= MOST_VERDICT and sound(rate, out, *chain(*done.values()))
+            return Fleet(rate, out, done, build, stage, verdict) if fits else None
         tag, life, build, stage = HEAD.unpack_from(data)
         if tag == IS_STEP:
             ratio, level, seen, mark = STEP.unpack(data[HEAD.size :])
