--- a/gatebank/commands/learn.py
+++ b/gatebank/commands/learn.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from gatebank.learning.knowledge import Known
+    from gatebank.learning.link import Link
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -65,6 +66,24 @@
     return max(found, key=lambda row: row[0])[1]
 
 
+async def told_by(link: Link, deployment: str) -> tuple[list[Known] | None, float | None]:
+    """What an instance tells, None if it ends amid that, and s until it may be asked again if it is busy."""
+    from gatebank.learning import protocol
+
+    talk, found = protocol.Talk(protocol.Hello(name="show", deployment=deployment)), list[Any]()
+    await link.send(talk.hello() + protocol.frame(protocol.ASK, protocol.Ask()))
+    while not talk.ended:
+        data = await link.read()
+        if not data:
+            return None, None
+        for word in talk.feed(data):
+            if isinstance(word, protocol.Refuse):
+                return found, word.back_in
+            if isinstance(word, list):
+                found += word
+    return found, None
+
+
 async def of_instance(
     source: str, where: tuple[str, int], keys: Path | None, configuration: Path | None
 ) -> list[Known]:
@@ -95,20 +114,12 @@
                 link = Link(opened(where), tls)
                 await link.loop.sock_connect(link.sock, where)
                 await link.shake()
-                talk, found = protocol.Talk(protocol.Hello(name="show", deployment=deployment)), list[Any]()
-                await link.send(talk.hello() + protocol.frame(protocol.ASK, protocol.Ask()))
-                again: float | None = None
-                while not talk.ended and again is None:
-                    data = await link.read()
-                    if not data:
-                        refuse(f"{source}: it ended the connection; is this name among its may_learn?")
-                    for word in talk.feed(data):
-                        if isinstance(word, protocol.Refuse):
-                            again, why = word.back_in, "busy"
-                        if isinstance(word, list):
-                            found += word
+                found, again = await told_by(link, deployment)
+                if found is None:
+                    refuse(f"{source}: it ended the connection; is this name among its may_learn?")
                 if again is None:
                     return found
+                why = "busy"
                 link.close()
                 await asyncio.sleep(again)
     except protocol.Garbled as trouble:
