--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -54,6 +54,8 @@
     bad_build_errors: float = 0.0
     bad_build_slowdown: float = 1.0
     restarts: int = 0
+    stalls: int = 0  # times at which the clock jumps, and all that was due meanwhile comes at once
+    stuck_class: int | None = None  # a class that some backend behind all nodes holds up, from 12 s on
 
 
 @dataclass(slots=True)
@@ -260,6 +262,8 @@
         self.after(6000.0, "offer")
         self.after(2000.0, "tally")
         self.after(4000.0, "status")
+        for number in range(self.session.stalls):
+            self.after(9000.0 + 6100.0 * number, "stall")
         for number in range(self.session.restarts):
             self.after(7000.0 + 4100.0 * number, "restart", number % self.session.instances)
 
@@ -290,6 +294,9 @@
         self.tell_status(instance, "completed", 0)
         self.watching[instance] = self.session.settings.get("registry-mode") != "ask"
 
+    def at_stall(self) -> None:
+        self.now_ms += 1600.0
+
     def at_restart(self, instance: int) -> None:
         for request in self.requests.values():
             request.concluded = request.concluded or request.instance == instance
@@ -537,6 +544,8 @@
             )
             return
         work_ms = CLASSES[request.class_index][6] * node.slowness * (4.0 if self.slow_period else 1.0)
+        if request.class_index == self.session.stuck_class and self.now_ms > FIRST_MS + 12_000:
+            work_ms *= 25.0
         took_ms = work_ms * (0.4 + 1.2 * self.random())
         outcome = self.outcome(node)
         if outcome in ("saturated", "refused_conn", "superseded"):
@@ -714,4 +723,17 @@
         bad_build_errors=0.35,
         restarts=12,
     ),
+    Session(
+        "four instances that stall, a class that is held up behind all nodes, a slow build",
+        16,
+        4,
+        10,
+        40.0,
+        110.0,
+        {"limits.conn-idle-ms": 4000.0, "accounts": TENANTS},
+        bad_build_slowdown=3.5,
+        restarts=1,
+        stalls=3,
+        stuck_class=0,
+    ),
 )
