--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -1,4 +1,4 @@
-"""Each structure of gatebank/counting beside the plain form that it replaces, and a library's, in one run.
+"""Each structure of gatebank/statistics beside the plain form that it replaces, and a library's, in one run.
 
 python -m benchmarks.counting
 """
@@ -14,10 +14,10 @@
 from sortedcontainers import SortedList
 
 from gatebank import interface as ours
-from gatebank.counting.groups import Groups, Silent
-from gatebank.counting.ranks import Ranks
-from gatebank.counting.windows import Window
-from gatebank.records import Node
+from gatebank.state import Node
+from gatebank.statistics.endpoint_groups import Groups, Silent
+from gatebank.statistics.order_statistics import Ranks
+from gatebank.statistics.sliding_window import Window
 
 SIZES = (10, 100, 1_000, 10_000, 100_000)
 ROUNDS, LEAST = 5, 0.02  # runs of each, and s that a run takes
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -17,10 +17,10 @@
 from typing import Any
 
 from benchmarks.fleet import ROOT, Fleet
-from gatebank.learning import protocol
-from gatebank.learning.knowledge import Health, by_value, parts
-from gatebank.learning.protocol import ASK, PART, Ask, Hello, Refuse, Talk, frame
-from gatebank.net import launch
+from gatebank.proxy.configuration import Address, load_configuration
+from gatebank.state_transfer import protocol
+from gatebank.state_transfer.items import Health, by_value, parts
+from gatebank.state_transfer.protocol import ASK, PART, Ask, Hello, Refuse, Talk, frame
 
 RATE, SPANS = 300.0, (1.0, 5.0, 15.0)
 TEACHES = 'learning(listen = "{me}:7950", donors = ["{other}:7950"], plain = True{more})'
@@ -75,7 +75,7 @@
         fleet.close()
 
 
-async def learner(where: launch.Address, deployment: str, until: float) -> tuple[int, int]:
+async def learner(where: Address, deployment: str, until: float) -> tuple[int, int]:
     """One learner's way: asks, comes back when told to, until it is taught. Its attempts, and bytes."""
     tries = 0
     while time.monotonic() < until:
@@ -95,7 +95,7 @@
 
 
 async def crowd(fleet: Fleet, many: int) -> list[tuple[int, int]]:
-    posting = launch.posting({"ROUTER_CONFIG": str(fleet.configuration(0))})
+    posting = load_configuration({"ROUTER_CONFIG": str(fleet.configuration(0))})
     deployment = protocol.deployment(posting.standing_orders)
     where = (fleet.address(0), 7950)
     return await asyncio.gather(*(learner(where, deployment, time.monotonic() + 12) for _ in range(many)))
@@ -141,7 +141,7 @@
 
 
 def size() -> None:
-    from gatebank.learning.taking import SLICE, Names, told
+    from gatebank.state_transfer.balancer_state import SLICE, Names, told
     from tests.learning import START, brain
 
     for nodes in (10, 100, 1_000, 10_000):
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -16,8 +16,8 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from gatebank.net import resp
-from gatebank.standins.customers import invocation
+from gatebank.fakes.clients import invocation
+from gatebank.proxy import resp
 
 
 class Line(asyncio.Protocol):
--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -16,7 +16,7 @@
 from types import ModuleType
 
 from benchmarks.same_acts import module
-from gatebank import brain as today
+from gatebank import balancer as today
 from gatebank import interface as ours
 from tests.learning import ORDERS
 
--- a/benchmarks/nodes.py
+++ b/benchmarks/nodes.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from gatebank.standins.world import World
+from gatebank.fakes.world import World
 
 
 async def main(host: str, *faults: str) -> None:
--- a/benchmarks/same_acts.py
+++ b/benchmarks/same_acts.py
@@ -19,9 +19,9 @@
 from types import ModuleType
 from typing import Any
 
-from gatebank import brain as today
+from gatebank import balancer as today
 from gatebank import interface as ours
-from gatebank import peers
+from gatebank import peer_messages
 from tests.learning import ORDERS
 
 ROOT, SEEDS, STEPS = Path(__file__).parents[1], 60, 3_000
@@ -34,7 +34,7 @@
         command = ["git", "show", f"{revision}:gatebank/{name}.py"]
         text = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True).stdout
         path = folder / f"{name}_was.py"
-        path.write_text(text.replace("gatebank.records", "records_was"))
+        path.write_text(text.replace("gatebank.state", "records_was"))
         spec = importlib.util.spec_from_file_location(f"{name}_was", path)
         assert spec and spec.loader
         loaded = importlib.util.module_from_spec(spec)
@@ -133,11 +133,11 @@
             case "peer":
                 peer, build, stage, total = told
                 done = {(w, 0, 0): (6.0, 0.1, 0.0) for w in range(3)}
-                word = peers.Totals(peer, build, stage, 20.0, 2, done, {0: (total, 9)})
+                word = peer_messages.Totals(peer, build, stage, 20.0, 2, done, {0: (total, 9)})
                 if stage:  # a fleet's word: much or little is out, and one workload may be stuck
                     times = ((20.0, 0.4), (9.0, abs(total) * 9), (6.0, 0.3))
                     done = {(w, 0, 0): (*each, 0.0) for w, each in enumerate(times)}
-                    word = peers.Fleet(60.0, abs(total) * 40, done)
+                    word = peer_messages.Fleet(60.0, abs(total) * 40, done)
                 marshal.on_peer(peer, word)
             case "leave" if marshal.tasks:
                 marshal.on_client_left(list(marshal.tasks)[int(told * len(marshal.tasks))])
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 
 from gatebank.capture import writing
-from gatebank.net import resp
-from gatebank.standins.customers import invocation
+from gatebank.fakes.clients import invocation
+from gatebank.proxy import resp
 
 START = 1_700_000_000_000_000_000
 ETHERNET = bytes(12) + b"\x08\x00"
--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import gatebank.early  # noqa: F401  (first, for its effect)
+import gatebank.signal_mask  # noqa: F401  (first, for its effect)
 
 # isort: split
 import os
@@ -13,10 +13,11 @@
 import typer
 
 from gatebank import __version__
-from gatebank.net import launch, log, roll, service
+from gatebank.proxy import discovery, log, service
+from gatebank.proxy.configuration import Unfit, load_configuration
 
 if TYPE_CHECKING:
-    from gatebank.operators.orders import OperatorsFile
+    from gatebank.operator_config.operators_file import OperatorsFile
 
 app = typer.Typer(
     add_completion=False,
@@ -41,7 +42,7 @@
     if path is None:
         return None
     try:
-        from gatebank.operators.orders import Unusable, read
+        from gatebank.operator_config.operators_file import Unusable, read
     except ModuleNotFoundError as trouble:
         print(f"gatebank: --orders needs the extra gatebank[operators]: {trouble}", file=sys.stderr)
         raise typer.Exit(2) from None
@@ -62,8 +63,8 @@
     log.begin(log_level)
     environment = surroundings(configuration)
     try:
-        service.serve(launch.posting(environment), environment, operators(orders))
-    except launch.Unfit as trouble:
+        service.serve(load_configuration(environment), environment, operators(orders))
+    except Unfit as trouble:
         refuse(trouble)
 
 
@@ -75,9 +76,9 @@
     """Say whether a marshal can start with this configuration, without starting it."""
     extra = operators(orders)
     try:
-        found = launch.posting(surroundings(configuration))
-        service.at_start(found, roll.Register(found.standing_orders))
-    except launch.Unfit as trouble:
+        found = load_configuration(surroundings(configuration))
+        service.at_start(found, discovery.Register(found.standing_orders))
+    except Unfit as trouble:
         refuse(trouble)
     workloads = ", ".join(each["name"] for each in found.standing_orders["workloads"])
     print(f"{found.name}: listens on {found.listen[0]}:{found.listen[1]}; workloads {workloads}")
@@ -93,7 +94,7 @@
 
 def main() -> None:
     if sys.argv[1:2] != ["serve"]:  # a marshal holds nothing that it does not use
-        from gatebank.commands import capture, fleet, keys, learn
+        from gatebank.cli import capture, fleet, keys, learn
 
         for name, group in (("capture", capture), ("fleet", fleet), ("learn", learn), ("keys", keys)):
             app.add_typer(group.app, name=name)
--- a/gatebank/brain.py
+++ b/gatebank/balancer.py
@@ -12,14 +12,14 @@
 from operator import attrgetter
 from random import Random
 
-from gatebank.counting.groups import Groups, Silent, Some
-from gatebank.counting.windows import Window
+from gatebank.statistics.endpoint_groups import Groups, Silent, Some
+from gatebank.statistics.sliding_window import Window
 from gatebank.interface import (  # fmt: skip
     NEVER_RAN, Act, BreakOff, BrokenOff, Condition, Ended, Ending, FollowRoll, Heard, Invocation, Lore, Note,
     Phase, Plain, Probe, Reject, Rejected, Repeats, RollEntry, Shoot, Shot, StageNews, StandingOrders, Tell,
     Verdict, Vote, Wait, Wake, Wish, Withdraw, Word)
-from gatebank.peers import COLD, EARLIER, ON_TRIAL, Fleet, Step, Totals, short, together
-from gatebank.records import Node, Task, forget, learned
+from gatebank.peer_messages import COLD, EARLIER, ON_TRIAL, Fleet, Step, Totals, short, together
+from gatebank.state import Node, Task, forget, learned
 
 BEAT = 0.25  # s between looks at what only time changes; a quarter of the design's 1 s remainder
 
--- a/gatebank/commands/capture.py
+++ b/gatebank/cli/capture.py
@@ -69,11 +69,11 @@
     most_message: Message = 8 << 20,
 ) -> None:
     """What was asked and answered: a line an exchange."""
-    from gatebank.commands import exhibit, source
+    from gatebank.cli import output, source
 
     wanted = source.chosen(begin, end, workload, customer, key, id_, ended, side, port)
     bounds = source.bounds(most_streams, most_gap, idle, most_message)
-    exhibit.show(source.Source(files, bounds, node, marshal), wanted, as_json, parquet)
+    output.show(source.Source(files, bounds, node, marshal), wanted, as_json, parquet)
 
 
 @app.command()
@@ -88,10 +88,10 @@
     most_message: Message = 8 << 20,
 ) -> None:
     """Count what is in a capture, what could not be read, and why; status 1 if there is any of that."""
-    from gatebank.commands import exhibit, source
+    from gatebank.cli import output, source
 
     bounds = source.bounds(most_streams, most_gap, idle, most_message)
-    exhibit.check(source.Source(files, bounds, node, marshal), as_json)
+    output.check(source.Source(files, bounds, node, marshal), as_json)
 
 
 @app.command()
@@ -112,10 +112,10 @@
     marshal: Marshal = None,
 ) -> None:
     """Write the packets of the exchanges that the filters choose."""
-    from gatebank.commands import exhibit, source
+    from gatebank.cli import output, source
 
     wanted = source.chosen(begin, end, workload, customer, key, id_, ended, side, port)
-    exhibit.cut(source.Source([file], None, node, marshal), wanted, out, whole_streams)
+    output.cut(source.Source([file], None, node, marshal), wanted, out, whole_streams)
 
 
 @app.command()
@@ -128,10 +128,10 @@
     customer: Customer = None,
 ) -> None:
     """Match the exchanges of two captures: what became otherwise, what is in one only, and latencies."""
-    from gatebank.commands import exhibit, source
+    from gatebank.cli import output, source
 
     wanted = source.chosen(None, None, workload, customer, None, None, None, side, None)
-    exhibit.compare(source.Source([a]), source.Source([b]), wanted, as_json)
+    output.compare(source.Source([a]), source.Source([b]), wanted, as_json)
 
 
 @app.command()
@@ -163,11 +163,11 @@
 ) -> None:
     """Play recorded invocations again: what may run twice to any target that the operators' file names, what
     may not only to a rehearsal target, and once."""
-    from gatebank.commands import rehearse, source
+    from gatebank.cli import replay, source
 
     wanted = source.chosen(begin, until, workload, customer, key, id_, ended, side, port)
-    way = rehearse.Way(to, inside, orders, ledger, pace, lines, most_lines, most_in_hand, patient)
-    rehearse.replay(source.Source([file], None, node, marshal), wanted, way, as_json)
+    way = replay.Way(to, inside, orders, ledger, pace, lines, most_lines, most_in_hand, patient)
+    replay.replay(source.Source([file], None, node, marshal), wanted, way, as_json)
 
 
 @app.command("ledger")
@@ -175,6 +175,6 @@
     folder: Annotated[Path, typer.Argument(help="A replay's ledger folder.")], as_json: AsJson = False
 ) -> None:
     """What a ledger holds: how many were replayed, and which are unsure."""
-    from gatebank.commands import rehearse
+    from gatebank.cli import replay
 
-    rehearse.show_ledger(folder, as_json)
+    replay.show_ledger(folder, as_json)
--- a/gatebank/commands/learn.py
+++ b/gatebank/cli/learn.py
@@ -11,8 +11,8 @@
 import typer
 
 if TYPE_CHECKING:
-    from gatebank.learning.knowledge import Known
-    from gatebank.learning.link import Link
+    from gatebank.state_transfer.items import Known
+    from gatebank.state_transfer.session import Link
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -34,23 +34,23 @@
 def known(source: str, keys: Path | None, configuration: Path | None) -> list[Known]:
     """All items of a source, by value; one line and status 2 if there are none to be had."""
     try:
-        from gatebank.learning.knowledge import by_value
+        from gatebank.state_transfer.items import by_value
     except ModuleNotFoundError as trouble:
         refuse(f"learn needs the extra gatebank[learning]: {trouble}")
     path = Path(source)
     if path.exists():
         return by_value(of_snapshot(path))
-    from gatebank.net import launch
+    from gatebank.proxy.configuration import Unfit, address
 
     try:
-        where = launch.address(source, "source")
-    except launch.Unfit as trouble:
+        where = address(source, "source")
+    except Unfit as trouble:
         refuse(f"{trouble}, and no such file")
     return by_value(asyncio.run(of_instance(source, where, keys, configuration)))
 
 
 def of_snapshot(path: Path) -> list[Known]:
-    from gatebank.learning import snapshot
+    from gatebank.state_transfer import snapshot
 
     paths = [path / name for name in snapshot.NAMES if (path / name).exists()] if path.is_dir() else [path]
     found, why = [], "no snapshot is there"
@@ -68,7 +68,7 @@
 
 async def told_by(link: Link, deployment: str) -> tuple[list[Known] | None, float | None]:
     """What an instance tells, None if it ends amid that, and s until it may be asked again if it is busy."""
-    from gatebank.learning import protocol
+    from gatebank.state_transfer import protocol
 
     talk, found = protocol.Talk(protocol.Hello(name="show", deployment=deployment)), list[Any]()
     await link.send(talk.hello() + protocol.frame(protocol.ASK, protocol.Ask()))
@@ -93,18 +93,18 @@
 
     from gatebank.keys.folder import BadKeys, read
     from gatebank.keys.sealed import Sealed
-    from gatebank.learning import protocol
-    from gatebank.learning.link import Link
-    from gatebank.net import launch
-    from gatebank.net.sockets import opened
+    from gatebank.proxy.configuration import Unfit, load_configuration
+    from gatebank.proxy.sockets import opened
+    from gatebank.state_transfer import protocol
+    from gatebank.state_transfer.session import Link
 
     deployment = ""
     try:
         if configuration:
-            posting = launch.posting(dict(os.environ) | {"ROUTER_CONFIG": str(configuration)})
+            posting = load_configuration(dict(os.environ) | {"ROUTER_CONFIG": str(configuration)})
             deployment = protocol.deployment(posting.standing_orders)
         tls = Sealed(read(keys).client, False) if keys else None
-    except (launch.Unfit, BadKeys) as trouble:
+    except (Unfit, BadKeys) as trouble:
         refuse(trouble)
     link: Link | None = None
     why = "no answer in time"
@@ -137,8 +137,8 @@
 
 def weight_of(item: Known) -> float | None:
     """What it would weigh now, by the defaults' half-lives; None where it is not weighed."""
-    from gatebank.learning.knowledge import Health, Past, Sums, Times
-    from gatebank.learning.weighing import HalfLives, weight
+    from gatebank.state_transfer.items import Health, Past, Sums, Times
+    from gatebank.state_transfer.weighting import HalfLives, weight
 
     lives = HalfLives()
     match item:
@@ -211,7 +211,7 @@
     import orjson
 
     from gatebank.capture.records import harmless
-    from gatebank.learning.knowledge import Sent, Took, identity
+    from gatebank.state_transfer.items import Sent, Took, identity
 
     tables = []
     for source in (a, b):
--- a/gatebank/commands/exhibit.py
+++ b/gatebank/cli/output.py
@@ -12,7 +12,7 @@
 from gatebank.capture import records, writing
 from gatebank.capture.layers import FIN, RAW, RST, SYN
 from gatebank.capture.records import Filter, harmless
-from gatebank.commands.source import Source, refuse, told_if_ended, warn
+from gatebank.cli.source import Source, refuse, told_if_ended, warn
 
 ROWS = 10_000  # of a column file at once
 MOST_CUT = 1_000_000  # exchanges that a cut may name: some 200 bytes each
--- a/gatebank/commands/rehearse.py
+++ b/gatebank/cli/replay.py
@@ -17,9 +17,10 @@
 import uvloop
 
 from gatebank.capture.records import Exchange, Filter, clock, harmless
-from gatebank.commands.source import INTERRUPTED, Source, refuse, warn
-from gatebank.net import launch, log
-from gatebank.operators import orders as operators
+from gatebank.cli.source import INTERRUPTED, Source, refuse, warn
+from gatebank.operator_config import operators_file as operators
+from gatebank.proxy import log
+from gatebank.proxy.configuration import Address, Posting, Unfit, address, load_configuration
 from gatebank.replay import report
 from gatebank.replay.entries import Kind
 from gatebank.replay.guard import Guard, Refused, written
@@ -74,12 +75,12 @@
     try:
         targets = operators.read(way.orders).all(Target)
         environment = dict(os.environ) | {"ROUTER_CONFIG": str(way.inside)}
-        posting = launch.posting(environment) if way.inside else None
-        where = launch.address(way.to, "--to") if way.to else posting.roll
+        posting = load_configuration(environment) if way.inside else None
+        where = address(way.to, "--to") if way.to else posting.roll
     except operators.Unusable as trouble:
         typer.echo(str(trouble), err=True)
         raise typer.Exit(2) from None
-    except launch.Unfit as trouble:
+    except Unfit as trouble:
         refuse(trouble)
     if where is None:
         refuse(f"{way.inside}: it names no discovery")
@@ -167,8 +168,8 @@
     way: Way,
     guard: Guard,
     ledger: Ledger | None,
-    posting: launch.Posting | None,
-    where: launch.Address,
+    posting: Posting | None,
+    where: Address,
     found: Survey,
 ) -> dict[str, Any]:
     reader = Reader(source, wanted, side)
--- a/gatebank/standins/__main__.py
+++ b/gatebank/fakes/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m gatebank.standins world`` runs a small fleet; ``ask 200`` sends a marshal invocations."""
+"""``python -m gatebank.fakes world`` runs a small fleet; ``ask 200`` sends a marshal invocations."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 import typer
 
-from gatebank.standins.customers import Unserved, ask
-from gatebank.standins.world import World
+from gatebank.fakes.clients import Unserved, ask
+from gatebank.fakes.world import World
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
 EXAMPLE = Path(__file__).parents[2] / "examples" / "marshal.json"
--- a/gatebank/standins/customers.py
+++ b/gatebank/fakes/clients.py
@@ -6,7 +6,7 @@
 import random
 from collections import Counter
 
-from gatebank.standins.wire import answered, packed
+from gatebank.fakes.wire import answered, packed
 
 LINES = 10  # connections at once
 PAUSE = 0.02  # s between an answer and the next invocation of a connection
--- a/gatebank/standins/world.py
+++ b/gatebank/fakes/world.py
@@ -20,8 +20,8 @@
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
-from gatebank.standins.counts import Counts, names
-from gatebank.standins.wire import command, page
+from gatebank.fakes.counts import Counts, names
+from gatebank.fakes.wire import command, page
 
 PHASES = ("trial", "back", "released", "withdrawn")
 PROGRESS = dict(zip(PHASES, ("IN_PROGRESS", "ROLLING_BACK", "COMPLETE", "ROLLED_BACK"), strict=True))
--- a/gatebank/interface.py
+++ b/gatebank/interface.py
@@ -13,7 +13,7 @@
 from enum import Enum, IntEnum
 from typing import Any
 
-from gatebank.peers import Fleet, Step, Totals
+from gatebank.peer_messages import Fleet, Step, Totals
 
 StandingOrders = Mapping[str, Any]
 
--- a/gatebank/keys/section.py
+++ b/gatebank/keys/section.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gatebank.operators.sections import Section
+from gatebank.operator_config.sections import Section
 
 
 class KeysFolder(Section, kw_only=True, frozen=True):
--- a/gatebank/operators/orders.py
+++ b/gatebank/operator_config/operators_file.py
@@ -7,14 +7,14 @@
 from pathlib import Path
 from typing import TypeVar
 
-from gatebank.operators import script
-from gatebank.operators.sections import Fault, Section
+from gatebank.operator_config import script
+from gatebank.operator_config.sections import Fault, Section
 
 # Where sections are declared, each beside the code of its direction.
 DECLARED = (
     "gatebank.recording.section",
     "gatebank.replay.section",
-    "gatebank.learning.section",
+    "gatebank.state_transfer.section",
     "gatebank.keys.section",
 )
 MOST_FAULTS = 20  # told of one file
--- a/gatebank/operators/script.py
+++ b/gatebank/operator_config/script.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from gatebank.operators.sections import Fault
+from gatebank.operator_config.sections import Fault
 
 SECONDS = 2.0  # of processor time: a file of a thousand sections takes 0.1
 PATIENCE = 10.0  # s until an answer, on a machine that is busy with other things
@@ -43,10 +43,10 @@
     ('lamp', {'watts': 40}, 2, {'watts': 3})
     >>> calls("lamp(5)", "f", ["lamp"])
     Traceback (most recent call last):
-    gatebank.operators.sections.Fault: 1: lamp: fields are given by name, lamp(field = value)
+    gatebank.operator_config.sections.Fault: 1: lamp: fields are given by name, lamp(field = value)
     >>> calls("x = 1\\ny = z", "f", [])
     Traceback (most recent call last):
-    gatebank.operators.sections.Fault: 2: Variable `z` not found, did you mean `x`?
+    gatebank.operator_config.sections.Fault: 2: Variable `z` not found, did you mean `x`?
     """
     if len(text.encode()) > MOST_TEXT:
         raise Fault(0, f"the script is longer than {MOST_TEXT} bytes")
--- a/gatebank/peers.py
+++ b/gatebank/peer_messages.py
@@ -97,6 +97,9 @@
         return took / due if answers >= least and due > 0 else 0.0
 
 
+PeerMessage = Step | Totals | Fleet
+
+
 def mark(name: str) -> int:
     """The number that all marshals have for a node of this name."""
     return crc32(name.encode()) & 0xFFFF
@@ -127,7 +130,7 @@
     return build & 0xFFFF
 
 
-def encode(word: Step | Totals | Fleet) -> bytes:
+def encode(word: PeerMessage) -> bytes:
     if isinstance(word, Step):
         head = HEAD.pack(IS_STEP, word.life, short(word.build), word.stage)
         return head + STEP.pack(word.ratio, word.level, min(word.seen, 65535), word.mark)
@@ -146,7 +149,7 @@
     return head + does + done + b"".join(sums[:room])
 
 
-def decode(data: bytes) -> Step | Totals | Fleet | None:
+def decode(data: bytes) -> PeerMessage | None:
     """The word, or None where the bytes are malformed or hold what no marshal would send."""
     try:
         if data[:1] == bytes((IS_FLEET,)):
--- a/gatebank/net/launch.py
+++ b/gatebank/proxy/configuration.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from gatebank.orders import standing_orders
+from gatebank.settings import standing_orders
 
 Address = tuple[str, int]
 MB = 1024 * 1024
@@ -67,7 +67,7 @@
     (('127.0.0.4', 6379), ('::1', 7))
     >>> address("somewhere:70000", "listen")
     Traceback (most recent call last):
-    gatebank.net.launch.Unfit: listen: 'somewhere:70000' is no IP address and port
+    gatebank.proxy.configuration.Unfit: listen: 'somewhere:70000' is no IP address and port
     """
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     host = host[1:-1] if host[:1] == "[" and host[-1:] == "]" else host
@@ -84,7 +84,7 @@
     return None if value in (None, "") else address(value, what)
 
 
-def posting(environment: Mapping[str, str]) -> Posting:
+def load_configuration(environment: Mapping[str, str]) -> Posting:
     """From the variables, of which ROUTER_CONFIG names the file that holds the rest."""
     path = environment.get("ROUTER_CONFIG")
     if not path:
@@ -100,7 +100,7 @@
     told = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"}
     given = {key: environment[name] for key, name in told.items() if environment.get(name)} | given
     try:
-        return found(given)
+        return parse_configuration(given)
     except Unfit as trouble:
         raise Unfit(f"{path}: {trouble}") from trouble
     except (KeyError, TypeError, ValueError, AttributeError) as trouble:
@@ -108,7 +108,7 @@
         raise Unfit(f"{path}: {what}") from trouble
 
 
-def found(given: Mapping[str, Any]) -> Posting:
+def parse_configuration(given: Mapping[str, Any]) -> Posting:
     settings, limits = given.get("settings"), given.get("limits") or {}
     if not isinstance(settings, dict):
         raise Unfit("settings: missing or not an object")
--- a/gatebank/net/roll.py
+++ b/gatebank/proxy/discovery.py
@@ -15,11 +15,11 @@
 import orjson
 
 from gatebank.interface import Condition, RollEntry
-from gatebank.net.http import Caller, Unanswered
-from gatebank.net.launch import Address, Unfit, address
-from gatebank.net.log import say
-from gatebank.net.sockets import Turn
-from gatebank.peers import mark
+from gatebank.peer_messages import mark
+from gatebank.proxy.configuration import Address, Unfit, address
+from gatebank.proxy.http import Caller, Unanswered
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import Turn
 
 WAIT = 2.0  # s a watch may wait: an outage shows this soon; PROTOCOL allows 60
 LATE = 1.0  # s an answer may come after that wait before the connection is held dead
--- a/gatebank/net/exchange.py
+++ b/gatebank/proxy/dispatcher.py
@@ -13,8 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from gatebank import peers
-from gatebank.brain import Marshal
+from gatebank.balancer import Marshal
 from gatebank.interface import (
     BreakOff,
     Complaint,
@@ -37,12 +36,13 @@
     Wake,
     Withdraw,
 )
-from gatebank.net.clients import Asked, PendingReply, Senseless
-from gatebank.net.desk import Desk
-from gatebank.net.log import LOG, say
-from gatebank.net.nodes import Attempt, Key, Nodes
-from gatebank.net.roll import Register
-from gatebank.net.words import Words
+from gatebank.peer_messages import PeerMessage
+from gatebank.proxy.discovery import Register
+from gatebank.proxy.downstream import Asked, PendingReply, Senseless
+from gatebank.proxy.log import LOG, say
+from gatebank.proxy.peer_transport import Words
+from gatebank.proxy.release_service import Desk
+from gatebank.proxy.upstream import Attempt, Key, Nodes
 
 AT_ONCE = 0.01  # s that a shot is written in where it need not wait for a connection
 ROW = 2048  # bytes an invocation in hand takes besides, about
@@ -237,7 +237,7 @@
     def complained(self, complaint: Complaint) -> None:
         self.turn(self.marshal.on_word, complaint)
 
-    def heard(self, peer: int, word: peers.Step | peers.Totals | peers.Fleet) -> None:
+    def heard(self, peer: int, word: PeerMessage) -> None:
         self.turn(self.marshal.on_peer, peer, word)
 
     def wake(self, at: float, name: str) -> None:
--- a/gatebank/net/clients.py
+++ b/gatebank/proxy/downstream.py
@@ -18,10 +18,10 @@
 from typing import Any, Protocol
 
 from gatebank.interface import Repeats
-from gatebank.net import resp
-from gatebank.net.launch import Address, Bounds
-from gatebank.net.log import say
-from gatebank.net.sockets import Pending, Record, give_back, hung_up, opened, unsent, waiting
+from gatebank.proxy import resp
+from gatebank.proxy.configuration import Address, Bounds
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import Pending, Record, give_back, hung_up, opened, unsent, waiting
 
 IN_HAND = 64  # commands of a connection before it is read on
 LOOK = 0.1  # s between looks at the clocks below
--- a/gatebank/net/http.py
+++ b/gatebank/proxy/http.py
@@ -11,8 +11,8 @@
 
 import httptools
 
-from gatebank.net.launch import Address
-from gatebank.net.sockets import opened, waiting
+from gatebank.proxy.configuration import Address
+from gatebank.proxy.sockets import opened, waiting
 
 MOST_BODY = 8 * 1024 * 1024  # a roll of some ten thousand nodes
 ROOM = 16 * 1024
--- a/gatebank/net/words.py
+++ b/gatebank/proxy/peer_transport.py
@@ -9,9 +9,10 @@
 import socket
 from collections.abc import Callable, Sequence
 
-from gatebank import peers
-from gatebank.net.launch import Address
-from gatebank.net.sockets import opened
+from gatebank import peer_messages
+from gatebank.peer_messages import PeerMessage
+from gatebank.proxy.configuration import Address
+from gatebank.proxy.sockets import opened
 
 TURN = 64  # datagrams taken before others get their turn
 
@@ -23,13 +24,13 @@
         marshals: Sequence[Address],
         to_all: Address | None,
         me: int,
-        heard: Callable[[int, peers.Step | peers.Totals | peers.Fleet], None],
+        heard: Callable[[int, PeerMessage], None],
     ) -> None:
         self.marshals, self.to_all, self.me, self.heard = marshals, to_all, me, heard
         self.numbers = {where: number for number, where in enumerate(marshals)}
         self.told = self.taken = self.dropped = 0  # datagrams since the start
         self.loop = asyncio.get_running_loop()
-        self.room = bytearray(peers.MOST_BYTES + 1)  # one more shows what is too long
+        self.room = bytearray(peer_messages.MOST_BYTES + 1)  # one more shows what is too long
         self.sock = opened(listen, socket.SOCK_DGRAM)
         try:
             self.sock.bind(listen)
@@ -38,15 +39,15 @@
             raise
         self.loop.add_reader(self.sock, self.ready)
 
-    def tell(self, peer: int | None, word: peers.Step | peers.Totals | peers.Fleet) -> None:
-        data = peers.encode(word)
+    def tell(self, peer: int | None, word: PeerMessage) -> None:
+        data = peer_messages.encode(word)
         if peer is not None:
             targets = [self.marshals[peer]] if peer < len(self.marshals) else []
         elif self.to_all:
             targets = [self.to_all]
         else:
             targets = [where for number, where in enumerate(self.marshals) if number != self.me]
-        for where in targets if len(data) <= peers.MOST_BYTES else ():
+        for where in targets if len(data) <= peer_messages.MOST_BYTES else ():
             try:
                 self.told += 1
                 self.sock.sendto(data, where)
@@ -62,7 +63,7 @@
             except OSError:  # an earlier datagram was refused somewhere
                 continue
             number = self.numbers.get(sender[:2])
-            word = peers.decode(bytes(self.room[:size])) if size <= peers.MOST_BYTES else None
+            word = peer_messages.decode(bytes(self.room[:size])) if size <= peer_messages.MOST_BYTES else None
             if number is None or word is None:
                 self.dropped += 1
             elif number != self.me:
--- a/gatebank/net/desk.py
+++ b/gatebank/proxy/release_service.py
@@ -18,11 +18,11 @@
 from defusedxml.ElementTree import fromstring
 
 from gatebank.interface import Complaint, Heard, Phase, StageNews, Verdict, Vote
-from gatebank.net.http import Caller, Unanswered
-from gatebank.net.launch import Address
-from gatebank.net.log import say
-from gatebank.net.roll import Register
-from gatebank.net.sockets import Turn
+from gatebank.proxy.configuration import Address
+from gatebank.proxy.discovery import Register
+from gatebank.proxy.http import Caller, Unanswered
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import Turn
 
 CALLS, STREAM = "/v2/projects/main/", "/v2/projects/main/stream"
 SILENCE = 3.0  # s without the sign of life that comes every second
--- a/gatebank/net/service.py
+++ b/gatebank/proxy/service.py
@@ -14,21 +14,20 @@
 import uvloop
 
 from gatebank.interface import RollEntry, StageNews
-from gatebank.net import launch
-from gatebank.net.clients import Clients
-from gatebank.net.desk import Desk, state
-from gatebank.net.exchange import Clock, Exchange
-from gatebank.net.launch import Posting, Unfit
-from gatebank.net.log import LOG, say
-from gatebank.net.nodes import Nodes
-from gatebank.net.roll import Register, Tries, follow
-from gatebank.net.sockets import Turn
-from gatebank.net.words import Words
+from gatebank.proxy.configuration import Posting, Unfit, load_configuration
+from gatebank.proxy.discovery import Register, Tries, follow
+from gatebank.proxy.dispatcher import Clock, Exchange
+from gatebank.proxy.downstream import Clients
+from gatebank.proxy.log import LOG, say
+from gatebank.proxy.peer_transport import Words
+from gatebank.proxy.release_service import Desk, state
+from gatebank.proxy.sockets import Turn
+from gatebank.proxy.upstream import Nodes
 
 if TYPE_CHECKING:  # not even imported where no operators' file asks for them
-    from gatebank.learning.link import Learning
-    from gatebank.operators.orders import OperatorsFile
+    from gatebank.operator_config.operators_file import OperatorsFile
     from gatebank.recording.recorder import Recorder
+    from gatebank.state_transfer.session import Learning
 
 ALSO = 24  # descriptors for the loop, listener, discovery, desk, datagrams, log and those in between
 EVERY = 1.0  # s between sweeps
@@ -146,7 +145,7 @@
         if learning:
             learning.look()
         try:
-            posting = launch.posting(environment)
+            posting = load_configuration(environment)
             at_start(posting, Register(posting.standing_orders))
         except Unfit as trouble:
             if str(trouble) != why:
@@ -183,12 +182,12 @@
     """What the operators' file says of learning; without it nothing of that is imported."""
     if operators is None:
         return None
-    from gatebank.learning.section import LearningOrders
+    from gatebank.state_transfer.section import LearningOrders
 
     if (told := operators.one(LearningOrders)) is None:
         return None
     from gatebank.keys.section import KeysFolder
-    from gatebank.learning.link import Learning
+    from gatebank.state_transfer.session import Learning
 
     try:
         found = Learning(told, operators.one(KeysFolder), operators.folder, exchange, posting.name)
@@ -235,7 +234,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, leaving.set)
         loop.add_signal_handler(signal.SIGHUP, told.set)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # blocked by gatebank/early.py
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # blocked by gatebank/signal_mask.py
         try:
             clients.listen(posting.listen)
         except OSError as trouble:
--- a/gatebank/net/sockets.py
+++ b/gatebank/proxy/sockets.py
@@ -10,7 +10,7 @@
 from types import coroutine
 from typing import Any, Protocol
 
-from gatebank.net.launch import Address
+from gatebank.proxy.configuration import Address
 
 
 class Tape(Protocol):
--- a/gatebank/net/nodes.py
+++ b/gatebank/proxy/upstream.py
@@ -17,10 +17,10 @@
 from typing import Any
 
 from gatebank.interface import Ending
-from gatebank.net import resp
-from gatebank.net.launch import Address
-from gatebank.net.log import say
-from gatebank.net.sockets import Pending, Record, give_back, opened, waiting
+from gatebank.proxy import resp
+from gatebank.proxy.configuration import Address
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import Pending, Record, give_back, opened, waiting
 
 PING = resp.command([b"PING"])
 # s a connection rests after an answer: a second one, which may come some milliseconds late (STANDING), would
--- a/gatebank/recording/recorder.py
+++ b/gatebank/recording/recorder.py
@@ -17,10 +17,10 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from gatebank.net.log import say
+from gatebank.proxy.log import say
+from gatebank.recording.packet_writer import Hiding, Track, head
+from gatebank.recording.rotation import Shelf
 from gatebank.recording.section import Recording
-from gatebank.recording.shelf import Shelf
-from gatebank.recording.tape import Hiding, Track, head
 
 EVERY = 0.05  # s between batches: a batch shares one write, and a killed process loses so much
 AGAIN, AGAIN_AT_MOST = 5.0, 60.0  # s before a failed folder is tried again, then twice as long
--- a/gatebank/recording/section.py
+++ b/gatebank/recording/section.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from gatebank.operators.sections import Section
+from gatebank.operator_config.sections import Section
 
 KB, MB = 1 << 10, 1 << 20
 Side, Hidden = Literal["customer", "node"], Literal["ticket", "customer"]
--- a/gatebank/replay/guard.py
+++ b/gatebank/replay/guard.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from gatebank.capture.records import Exchange
-from gatebank.net.launch import Address, address
+from gatebank.proxy.configuration import Address, address
 from gatebank.replay.identity import names
 from gatebank.replay.section import Target
 
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -11,14 +11,14 @@
 from collections.abc import Collection
 
 from gatebank.interface import RollEntry
-from gatebank.net.clients import Asked, Senseless
-from gatebank.net.desk import Desk
-from gatebank.net.exchange import Clock, Exchange, Held
-from gatebank.net.launch import Posting
-from gatebank.net.log import say
-from gatebank.net.nodes import Nodes
-from gatebank.net.roll import Register
-from gatebank.net.service import ALSO, Following, at_start, kept
+from gatebank.proxy.configuration import Posting
+from gatebank.proxy.discovery import Register
+from gatebank.proxy.dispatcher import Clock, Exchange, Held
+from gatebank.proxy.downstream import Asked, Senseless
+from gatebank.proxy.log import say
+from gatebank.proxy.release_service import Desk
+from gatebank.proxy.service import ALSO, Following, at_start, kept
+from gatebank.proxy.upstream import Nodes
 from gatebank.replay.guard import written
 from gatebank.replay.player import Play, Player
 
--- a/gatebank/replay/section.py
+++ b/gatebank/replay/section.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from gatebank.net.launch import Unfit, address
-from gatebank.operators.sections import Section
+from gatebank.operator_config.sections import Section
+from gatebank.proxy.configuration import Unfit, address
 
 
 class Target(Section, kw_only=True, frozen=True):
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -9,9 +9,9 @@
 import asyncio
 from collections import OrderedDict, deque
 
-from gatebank.net import resp
-from gatebank.net.launch import Address
-from gatebank.net.sockets import give_back, opened
+from gatebank.proxy import resp
+from gatebank.proxy.configuration import Address
+from gatebank.proxy.sockets import give_back, opened
 from gatebank.replay.player import Play, Player
 
 CONNECT = 2.0  # s until a connection must be up: a marshal on loopback or in the same building takes 0.01
--- a/gatebank/adapter/__main__.py
+++ b/gatebank/simulator/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m gatebank.adapter``: a batch a line on standard input, a reply a line on standard output."""
+"""``python -m gatebank.simulator``: a batch a line on standard input, a reply a line on standard output."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 import orjson
 
-from gatebank.adapter.host import Host, WireError
+from gatebank.simulator.host import Host, WireError
 
 
 def main() -> int:
@@ -29,7 +29,7 @@
 
 
 def complain(what: str) -> int:
-    print(f"gatebank.adapter: {what}".replace("\n", " "), file=sys.stderr)
+    print(f"gatebank.simulator: {what}".replace("\n", " "), file=sys.stderr)
     return 2
 
 
--- a/gatebank/adapter/host.py
+++ b/gatebank/simulator/host.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from gatebank import interface as ours
-from gatebank import peers
-from gatebank.brain import Marshal
-from gatebank.orders import standing_orders
+from gatebank import peer_messages
+from gatebank.balancer import Marshal
+from gatebank.settings import standing_orders
 
 ENDINGS = {
     "completed": ours.Ending.SATISFIED,
@@ -145,7 +145,7 @@
         elif kind == "Pong":
             self.tell(marshal.on_probed, self.node(event["node"]), ENDINGS[event["rc"]])
         elif kind == "NeighbourSays":
-            word = peers.decode(b64decode(event["data"]))
+            word = peer_messages.decode(b64decode(event["data"]))
             if word is not None:
                 self.tell(marshal.on_peer, event["who"], word)
         elif kind == "RolloutState":
@@ -188,7 +188,7 @@
         launched = each.get("launched-ms")
         return ours.RollEntry(
             self.node(each["node"]),
-            peers.mark(each["node"]),
+            peer_messages.mark(each["node"]),
             each.get("generation-hw", 0),
             each.get("region-part", 0),
             each.get("pack", 0),
@@ -222,7 +222,7 @@
                 self.answered.add(index)
                 return {"msg": "Surrender", "call": self.call_name[index]}
             case ours.Tell(peer, word):
-                data = peers.encode(word)
+                data = peer_messages.encode(word)
                 return {"msg": "BroadcastTo", "whom": peer, "data": b64encode(data).decode()}
             case ours.Vote(build, stage, verdict):
                 return {"msg": "Opinion", "wave": stage, "rel": build, "how": int(verdict)}
--- a/gatebank/learning/taking.py
+++ b/gatebank/state_transfer/balancer_state.py
@@ -10,9 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gatebank.brain import Marshal, Trial
+from gatebank.balancer import Marshal, Trial
 from gatebank.interface import Condition, Heard, Lore, NodeLore, Phase, StageNews
-from gatebank.learning.knowledge import (
+from gatebank.peer_messages import Totals
+from gatebank.state import Node
+from gatebank.state_transfer.items import (
     Cold,
     Health,
     Known,
@@ -25,9 +27,7 @@
     identity,
     newest,
 )
-from gatebank.learning.weighing import MOST_AGE, Belief, HalfLives, Process, believe
-from gatebank.peers import Totals
-from gatebank.records import Node
+from gatebank.state_transfer.weighting import MOST_AGE, Belief, HalfLives, Process, believe
 
 MOST_ROWS = 4096  # of single shots and invocations in one telling: a window of 2 s at 2,000 a second
 SLICE = 256  # nodes told of in one turn: about a millisecond
--- a/gatebank/learning/knowledge.py
+++ b/gatebank/state_transfer/items.py
@@ -144,7 +144,7 @@
     True
     >>> unpack(pack([Times(by="m", age=-1.0, workload="read", pace=0.02)]))
     Traceback (most recent call last):
-    gatebank.learning.knowledge.Unsound: Expected `float` >= 0.0 - at `$.age`
+    gatebank.state_transfer.items.Unsound: Expected `float` >= 0.0 - at `$.age`
     """
     found: list[Known] = []
     try:
--- a/gatebank/learning/protocol.py
+++ b/gatebank/state_transfer/protocol.py
@@ -10,7 +10,7 @@
 ['Hello', 'Refuse']
 >>> learner.feed(b"\\xff\\xff\\xff\\xff\\x01")
 Traceback (most recent call last):
-gatebank.learning.protocol.Garbled: a frame claims 4294967295 bytes
+gatebank.state_transfer.protocol.Garbled: a frame claims 4294967295 bytes
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 import msgspec
 from msgspec import Meta
 
-from gatebank.learning.knowledge import FORMS, VERSION, Age, Known, Name, Number, Unsound, pack, unpack
+from gatebank.state_transfer.items import FORMS, VERSION, Age, Known, Name, Number, Unsound, pack, unpack
 
 HELLO, ASK, PART, END, REFUSE = 1, 2, 3, 4, 5
 MOST_FRAME = 1 << 20  # bytes: a part is some 64 KiB, and items of any kind fit
--- a/gatebank/learning/section.py
+++ b/gatebank/state_transfer/section.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from gatebank.net.launch import Unfit, address
-from gatebank.operators.sections import Section
+from gatebank.operator_config.sections import Section
+from gatebank.proxy.configuration import Unfit, address
 
 Positive = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 
--- a/gatebank/learning/link.py
+++ b/gatebank/state_transfer/session.py
@@ -21,18 +21,30 @@
 
 from gatebank.keys.sealed import Sealed
 from gatebank.keys.section import KeysFolder
-from gatebank.learning import protocol, snapshot
-from gatebank.learning.asking import Asking, Connect
-from gatebank.learning.knowledge import Known, Unsound, parts
-from gatebank.learning.protocol import ASK, END, PART, REFUSE, Ask, End, Garbled, Hello, Refuse, Talk, frame
-from gatebank.learning.section import LearningOrders
-from gatebank.learning.taking import MOST_ROWS, Names, Taught, as_news, told
-from gatebank.learning.teaching import Teaching, TeachingBounds
-from gatebank.learning.weighing import HalfLives, only_down
-from gatebank.net.exchange import Exchange
-from gatebank.net.launch import Address, Unfit, address
-from gatebank.net.log import say
-from gatebank.net.sockets import opened
+from gatebank.proxy.configuration import Address, Unfit, address
+from gatebank.proxy.dispatcher import Exchange
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import opened
+from gatebank.state_transfer import protocol, snapshot
+from gatebank.state_transfer.balancer_state import MOST_ROWS, Names, Taught, as_news, told
+from gatebank.state_transfer.items import Known, Unsound, parts
+from gatebank.state_transfer.protocol import (
+    ASK,
+    END,
+    PART,
+    REFUSE,
+    Ask,
+    End,
+    Garbled,
+    Hello,
+    Refuse,
+    Talk,
+    frame,
+)
+from gatebank.state_transfer.receiver import Asking, Connect
+from gatebank.state_transfer.section import LearningOrders
+from gatebank.state_transfer.source import Teaching, TeachingBounds
+from gatebank.state_transfer.weighting import HalfLives, only_down
 
 if TYPE_CHECKING:
     from gatebank.keys.folder import Changing
--- a/gatebank/learning/snapshot.py
+++ b/gatebank/state_transfer/snapshot.py
@@ -16,7 +16,7 @@
 import msgspec
 from msgspec import Meta
 
-from gatebank.learning.knowledge import FORMS, VERSION, Known, Name, Number, Unsound, pack, unpack
+from gatebank.state_transfer.items import FORMS, VERSION, Known, Name, Number, Unsound, pack, unpack
 
 HEAD = struct.Struct("<8sII")  # magic, bytes of the body, checksum of the body
 MAGIC = b"gbknown\x01"
--- a/gatebank/learning/weighing.py
+++ b/gatebank/state_transfer/weighting.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from gatebank.learning.knowledge import Cold, Health, Known, News, Past, Sent, Sums, Times, Took, newest
+from gatebank.state_transfer.items import Cold, Health, Known, News, Past, Sent, Sums, Times, Took, newest
 
 
 @dataclass(slots=True, frozen=True)
--- a/gatebank/counting/groups.py
+++ b/gatebank/statistics/endpoint_groups.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import Any, NamedTuple
 
-from gatebank.counting.ranks import Ranks
+from gatebank.statistics.order_statistics import Ranks
 
 MOST_SETS = 64  # of builds asked for between two changes: a fleet has a few builds, all pairs of eight are 28
 
--- a/tests/builder.py
+++ b/tests/builder.py
@@ -1,20 +1,20 @@
 """Makes captures in memory, step by step, for captures.scenarios; with what the wire can do to packets.
 
-    form pcap|pcap-be|pcap-ns|pcapng|pcapng-be    link ethernet|vlan|qinq|raw|null|cooked|cooked2    ip 4|6
-    squeeze gzip|zstd                             before anything else
-    open N, close N, reset N                      connection N: handshake and end; to a node where N begins so
-    ask N WORKLOAD [BYTES]                        a command on it, with a body of so many bytes
-    value N [BYTES], nodevalue N [BYTES]          an answer of a marshal, or of a node with its report
-    busy N, error N                               other answers; raw N SIDE "BYTES" anything at all
-    split BYTES                                   payload of a segment from now on
-    drop K, again K, late K                       of the next step's packets, the Kth is lost, comes twice, or
-                                                  comes after the next packet
-    fragment BYTES, options                       IP datagrams in pieces, with IP options, from now on
-    snap BYTES, wait SECONDS, back SECONDS        the snap length; let time pass, or go backwards
-    wrap N, reuse N                               its numbers begin just below 2^32; its ports are used again
-    noise, end BYTES, begin PACKETS               bytes of no use; cut the file's end; its first packets
-    expect K exchanges | K whole | side NAME K | ended NAME K | COUNT >= K | COUNT = K | spoilt [WORDS]
-    matches                                       each whole exchange has the answer that was sent for it
+form pcap|pcap-be|pcap-ns|pcapng|pcapng-be    link ethernet|vlan|qinq|raw|null|cooked|cooked2    ip 4|6
+squeeze gzip|zstd                             before anything else
+open N, close N, reset N                      connection N: handshake and end; to a node where N begins so
+ask N WORKLOAD [BYTES]                        a command on it, with a body of so many bytes
+value N [BYTES], nodevalue N [BYTES]          an answer of a marshal, or of a node with its report
+busy N, error N                               other answers; raw N SIDE "BYTES" anything at all
+split BYTES                                   payload of a segment from now on
+drop K, again K, late K                       of the next step's packets, the Kth is lost, comes twice, or
+                                              comes after the next packet
+fragment BYTES, options                       IP datagrams in pieces, with IP options, from now on
+snap BYTES, wait SECONDS, back SECONDS        the snap length; let time pass, or go backwards
+wrap N, reuse N                               its numbers begin just below 2^32; its ports are used again
+noise, end BYTES, begin PACKETS               bytes of no use; cut the file's end; its first packets
+expect K exchanges | K whole | side NAME K | ended NAME K | COUNT >= K | COUNT = K | spoilt [WORDS]
+matches                                       each whole exchange has the answer that was sent for it
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 from gatebank.capture.layers import ACK
 from gatebank.capture.reading import Reading
 from gatebank.capture.records import Exchange
-from gatebank.net import resp
+from gatebank.proxy import resp
 
 START = 1_700_000_000_000_000_000
 LINKS = {"ethernet": 1, "vlan": 1, "qinq": 1, "raw": 101, "null": 0, "cooked": 113, "cooked2": 276}
@@ -328,5 +328,3 @@
         found += reading.feed(data[at : at + (piece or len(data))])
     found += reading.end()
     return found, reading
-
-
--- a/tests/counting.py
+++ b/tests/counting.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 from gatebank import interface as ours
-from gatebank.brain import Marshal
-from gatebank.counting.groups import Groups, Silent
-from gatebank.counting.ranks import Ranks
-from gatebank.counting.windows import Window
-from gatebank.records import Node
+from gatebank.balancer import Marshal
+from gatebank.state import Node
+from gatebank.statistics.endpoint_groups import Groups, Silent
+from gatebank.statistics.order_statistics import Ranks
+from gatebank.statistics.sliding_window import Window
 from tests.captures import SAME
 from tests.learning import ORDERS
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,8 +11,8 @@
 
 from typer.testing import CliRunner
 
-from gatebank.commands.fleet import app
-from gatebank.net.roll import MOST_PAUSE, PAUSE, TRIES, Tries
+from gatebank.cli.fleet import app
+from gatebank.proxy.discovery import MOST_PAUSE, PAUSE, TRIES, Tries
 
 
 def calls(marshals: int, until: float) -> list[float]:
--- a/tests/recordings.py
+++ b/tests/recordings.py
@@ -13,12 +13,12 @@
 from typing import Any
 
 from gatebank.capture.records import Exchange
-from gatebank.net import resp
+from gatebank.fakes.clients import invocation
+from gatebank.proxy import resp
 from gatebank.recording import recorder as at_work
+from gatebank.recording.packet_writer import Hiding, Track, head
 from gatebank.recording.recorder import Recorder, Unrecordable
 from gatebank.recording.section import Recording
-from gatebank.recording.tape import Hiding, Track, head
-from gatebank.standins.customers import invocation
 from tests.builder import START, read
 
 TICKET, CUSTOMER, SECRET = b"5c0f6e1a2b3d4c59", b"all", b"4111-1111"
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -46,15 +46,15 @@
 from pathlib import Path
 from typing import Any
 
+from gatebank.fakes.wire import packed
+from gatebank.fakes.world import World
 from gatebank.interface import Ending, Heard, Phase, Repeats, StageNews
-from gatebank.net.clients import Asked
-from gatebank.net.desk import Desk
-from gatebank.net.exchange import Clock, Exchange
-from gatebank.net.nodes import Attempt, Connection, ConnectionPool, Nodes
-from gatebank.net.roll import Register
-from gatebank.orders import standing_orders
-from gatebank.standins.wire import packed
-from gatebank.standins.world import World
+from gatebank.proxy.discovery import Register
+from gatebank.proxy.dispatcher import Clock, Exchange
+from gatebank.proxy.downstream import Asked
+from gatebank.proxy.release_service import Desk
+from gatebank.proxy.upstream import Attempt, Connection, ConnectionPool, Nodes
+from gatebank.settings import standing_orders
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 15.0  # s for anything awaited; only a failing test takes so long
