--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -14,7 +14,7 @@
 
 from gatebank import __version__
 from gatebank.proxy import discovery, log, service
-from gatebank.proxy.configuration import Unfit, load_configuration
+from gatebank.proxy.configuration import ConfigurationError, load_configuration
 
 if TYPE_CHECKING:
     from gatebank.operator_config.operators_file import OperatorsFile
@@ -64,7 +64,7 @@
     environment = surroundings(configuration)
     try:
         service.serve(load_configuration(environment), environment, operators(orders))
-    except Unfit as trouble:
+    except ConfigurationError as trouble:
         refuse(trouble)
 
 
@@ -77,10 +77,10 @@
     extra = operators(orders)
     try:
         found = load_configuration(surroundings(configuration))
-        service.at_start(found, discovery.Register(found.standing_orders))
-    except Unfit as trouble:
+        service.at_start(found, discovery.EndpointRegistry(found.settings))
+    except ConfigurationError as trouble:
         refuse(trouble)
-    workloads = ", ".join(each["name"] for each in found.standing_orders["workloads"])
+    workloads = ", ".join(each["name"] for each in found.settings["workloads"])
     print(f"{found.name}: listens on {found.listen[0]}:{found.listen[1]}; workloads {workloads}")
     if extra:
         print(f"{orders}: {', '.join(each.section for each, _ in extra.sections) or 'no sections'}")
--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -1,7 +1,7 @@
 """The decisions of one marshal: which node gets a shot, what follows a failure, and which build goes on.
 
 A front (types: interface.py, peers.py) makes one Marshal for each marshal, sets its `now`, calls its on_
-method for each event and carries out what it then finds in `acts`. Each invocation is the generator `serve`:
+method for each event and carries out what it then finds in `actions`. Each invocation is the generator `serve`:
 it yields a Wish and is resumed with a shot's ending, or None after its patience. Why so: docs/design.md.
 """
 
@@ -12,19 +12,18 @@
 from operator import attrgetter
 from random import Random
 
-from gatebank.statistics.endpoint_groups import Groups, Silent, Some
-from gatebank.statistics.sliding_window import Window
-from gatebank.interface import (  # fmt: skip
-    NEVER_RAN, Act, BreakOff, BrokenOff, Condition, Ended, Ending, FollowRoll, Heard, Invocation, Lore, Note,
-    Phase, Plain, Probe, Reject, Rejected, Repeats, RollEntry, Shoot, Shot, StageNews, StandingOrders, Tell,
-    Verdict, Vote, Wait, Wake, Wish, Withdraw, Word)
-from gatebank.peer_messages import COLD, EARLIER, ON_TRIAL, Fleet, Step, Totals, short, together
-from gatebank.state import Node, Task, forget, learned
+from gatebank.statistics.endpoint_groups import EndpointGroups, OutstandingAttempts, Some
+from gatebank.statistics.sliding_window import SlidingWindow
+from gatebank.events import AttemptResult, Condition, Endpoint, InheritedState, NEVER_RAN, Outcome, Phase, Plain, ReleaseStatus, ReplyStatus, Request, RetrySafety, Settings, Verdict, Word
+from gatebank.actions import Action, CancelAttempt, CastVote, CheckHealth, FailRequest, LogMessage, RejectRequest, SendToPeer, StartAttempt, StartTimer, WatchEndpoints
+from gatebank.state import BrokenOff, Rejected, Shot, Wait, Wish
+from gatebank.peer_messages import COLD, EARLIER, ON_TRIAL, FleetReport, LlrDelta, InstanceReport, short, together
+from gatebank.state import Node, RequestState, forget, learned
 
 BEAT = 0.25  # s between looks at what only time changes; a quarter of the design's 1 s remainder
 
 
-class Trial:
+class SequentialTest:
     """The LLRs of one build at one stage, own and fused. Ratio 0 is the design's: what broke, all workloads.
     Lost in it, so counted apart to hold a build or send it back, never to push it on: LATE, late beside the
     earlier build; EVERYWHERE, beside the time before it; FIRST + w, errors in workload w; CUT, resets and
@@ -38,7 +37,7 @@
     # of exponential times over three usual ones too. One workload's failures are many or none.
     ODDS = ((3, 0.06, 0.01), (5, 0.03, 0.05), (3, 0.03, 0.05), (3, 0.2, 0.01), (3, 0.2, 0.01))
 
-    def __init__(self, news: StageNews, ratios: int, life: int) -> None:
+    def __init__(self, news: ReleaseStatus, ratios: int, life: int) -> None:
         self.build, self.released, self.life = news.build or 0, news.phase is Phase.RELEASED, life
         self.stage, self.judged_since, self.passed = (news.stage or 0) + self.released, 0.0, False
         self.own, self.unsent = [(0.0, 0)] * ratios, [(0.0, 0)] * ratios  # sums and outcomes
@@ -55,7 +54,7 @@
         if mark is not None and step > 0:
             self.blame[ratio][mark] = self.blame[ratio].get(mark, 0.0) + step
 
-    def count(self, ratio: int, step: float, mark: int, random: Callable[[], float]) -> Step | None:
+    def count(self, ratio: int, step: float, mark: int, random: Callable[[], float]) -> LlrDelta | None:
         """Add an outcome; past Δ a message: sign, Δ + overshoot rounded at random so that the mean holds."""
         self.fuse(ratio, step, 1, mark)
         self.own[ratio] = (self.own[ratio][0] + step, self.own[ratio][1] + 1)
@@ -64,13 +63,13 @@
         if abs(value) < self.DELTA:
             return None
         level = min(self.LEVELS, int((abs(value) - self.DELTA) / self.LEVEL + random())) + 1
-        return Step(self.life, self.build, self.stage, ratio, level if value > 0 else -level, seen, mark)
+        return LlrDelta(self.life, self.build, self.stage, ratio, level if value > 0 else -level, seen, mark)
 
-    def hear(self, peer: int, word: Step | Totals) -> None:
+    def hear(self, peer: int, word: LlrDelta | InstanceReport) -> None:
         if (word.build, word.stage) != (short(self.build), self.stage):
             return
         row, sums = self.heard.setdefault((peer, word.life), {}), getattr(word, "sums", {})
-        if isinstance(word, Step):  # totals hold whole sums: they heal lost, late and repeated steps
+        if isinstance(word, LlrDelta):  # totals hold whole sums: they heal lost, late and repeated steps
             was, size = row.get(word.ratio, (0.0, 0)), self.DELTA + (abs(word.level) - 1) * self.LEVEL
             sums = {word.ratio: (was[0] + (size if word.level > 0 else -size), was[1] + word.seen)}
         for ratio, (value, seen) in sums.items():
@@ -90,38 +89,38 @@
                 doubts[r] -= max(0.0, over if few == worst else min(self.A, over))
         self.judged_since = self.judged_since or (now if self.seen else 0.0)  # the first outcome
         if max(doubts) >= self.A:
-            return Verdict.BACK
+            return Verdict.ROLL_BACK
         doubts[self.LATE] -= self.A / 4
         if self.released or self.seen < self.FLOOR or max(doubts) >= self.A / 2:
             return Verdict.NONE
         self.passed = self.passed or self.sums[0] <= -self.B or now - self.judged_since >= self.FALLBACK
-        return Verdict.ON if self.passed else Verdict.NONE
+        return Verdict.PROMOTE if self.passed else Verdict.NONE
 
 
-class Marshal:
+class Balancer:
     LEAST = 10.0  # answers a second of all marshals that make a mean: twenty in the two that a word covers
 
-    def __init__(self, standing_orders: StandingOrders, seed: int, now: float) -> None:
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
         chance = Random(seed)
         self.sample, self.random = chance.sample, chance.random
-        self.orders, self.workloads, told = standing_orders, standing_orders["workloads"], standing_orders.get
+        self.orders, self.workloads, told = settings, settings["workloads"], settings.get
         # What is sent as it starts is not timed: its clock may stand until it has caught up with that start.
         self.present_time, self.woke_at, self.began = now, now + BEAT, now
         self.me, marshals, self.life = self.orders["me"], self.orders["marshals"], chance.getrandbits(16)
         self.fusers = range(min(3, marshals))  # the design's three; where votes need more, others follow them
-        self.needed = {Verdict.ON: told("on_votes", 1), Verdict.BACK: told("back_votes", 1)}
-        self.acts: list[Act] = [FollowRoll()] * (told("roll_mode") == "ask") + [Wake(now + BEAT, "beat")]
+        self.needed = {Verdict.PROMOTE: told("on_votes", 1), Verdict.ROLL_BACK: told("back_votes", 1)}
+        self.actions: list[Action] = [WatchEndpoints()] * (told("roll_mode") == "ask") + [StartTimer(now + BEAT, "beat")]
         self.nodes: dict[int, Node] = {}  # as the roll has them
         self.ready: list[Node] = []  # those that may be sent to
-        self.tasks: dict[int, Task] = {}
-        self.groups, self.lowest = Groups([]), 0  # the same by build; the lowest build on the roll
+        self.tasks: dict[int, RequestState] = {}
+        self.groups, self.lowest = EndpointGroups([]), 0  # the same by build; the lowest build on the roll
         self.out: dict[tuple[int, int], tuple[Node, int, int]] = {}  # shots out; emptied by endings
-        self.silent = Silent()  # the same by node
+        self.silent = OutstandingAttempts()  # the same by node
         # Emptied by time: arrivals by customer, by workload for the cap, first tries; satisfied shots by
         # workload; ended ones by workload, kind and side; shots by workload, a window a build.
-        self.arrived, self.taken, self.first_tries, self.done = Window(), Window(), Window(), Window()
+        self.arrived, self.taken, self.first_tries, self.done = SlidingWindow(), SlidingWindow(), SlidingWindow(), SlidingWindow()
         self.ended: deque[tuple[float, tuple[int, int, int], float, bool]] = deque()
-        self.sent_to: dict[int, Window] = {}
+        self.sent_to: dict[int, SlidingWindow] = {}
         self.stayed: dict[int, int] = {}  # keys bound to a build; emptied when it goes back or another comes
         # Usual times and how many made them: by workload (and rates, now and steady: over some five seconds);
         # the earlier build's, by workload and machine kind; those, and the load, before that on trial came.
@@ -129,20 +128,20 @@
         self.earlier_pace: dict[tuple[int, int], tuple[float, int]] = {}
         self.calm_pace, self.calm_load, self.saw_trial = self.earlier_pace, 0.0, False
         # The earlier build's bad outcomes and all, fading, and its share in the last ten or so.
-        self.past = [(0.0, 0.0, 0.0)] * (Trial.FIRST + len(self.workloads))
-        self.reports: dict[int, tuple[Totals, float]] = {}  # at fusers: one row a marshal, its last totals
-        self.fleet: Fleet | None = None  # what all marshals together do, as a fuser told lately
+        self.past = [(0.0, 0.0, 0.0)] * (SequentialTest.FIRST + len(self.workloads))
+        self.reports: dict[int, tuple[InstanceReport, float]] = {}  # at fusers: one row a marshal, its last totals
+        self.fleet: FleetReport | None = None  # what all marshals together do, as a fuser told lately
         self.fleet_at, self.fleet_from, self.beats, self.stuck = 0.0, self.me, self.me, set[int]()
         # Of all: answers and time by workload, usual times, how slow the build on trial is (0: not known).
         self.does, self.beside = list[tuple[float, float]](), 0.0
         self.usual = dict[tuple[int, int], tuple[float, float]]()
-        self.news: StageNews | None = None
-        self.trial: Trial | None = None
-        self.cast: tuple[Trial | None, Verdict] = (None, Verdict.NONE)
+        self.news: ReleaseStatus | None = None
+        self.trial: SequentialTest | None = None
+        self.cast: tuple[SequentialTest | None, Verdict] = (None, Verdict.NONE)
         self.leaning, self.leaning_since, self.fuser_heard = Verdict.NONE, now, now
         self.cast_again, self.voted, self.serial = now, now, count(1)
         self.call = 1 / max(1, told("votes_per_second", 1e9))  # s that a vote takes the desk
-        self.strict_until, self.told_sums = now, list[tuple[int, Totals]]()  # both set by `take_up` alone
+        self.strict_until, self.told_sums = now, list[tuple[int, InstanceReport]]()  # both set by `take_up` alone
 
     @property
     def now(self) -> float:
@@ -156,7 +155,7 @@
             self.woke_at = self.fuser_heard = now
         self.present_time = now
 
-    def on_roll(self, entries: Sequence[RollEntry], whole: bool) -> None:
+    def on_endpoint_list(self, entries: Sequence[Endpoint], whole: bool) -> None:
         """Rule 3: what drains, is gone or is missing from a whole list is never chosen from here on."""
         kept = {} if whole else dict(self.nodes)
         for entry in entries:
@@ -167,19 +166,19 @@
         self.nodes = {i: node for i, node in kept.items() if node.entry.condition is not Condition.GONE}
         alike = sorted(self.nodes.values(), key=lambda n: n.entry.mark)  # at all marshals, for `near`
         self.ready = [n for n in alike if n.entry.condition is Condition.READY]
-        self.groups = Groups(self.ready)
+        self.groups = EndpointGroups(self.ready)
         self.lowest = min((n.entry.build for n in self.nodes.values()), default=0)
 
-    def on_invocation(self, invocation: Invocation) -> None:
+    def on_request(self, invocation: Request) -> None:
         self.taken.add(self.now, invocation.workload)
         self.arrived.add(self.now, invocation.customer)
         if not invocation.repeated:
             self.first_tries.add(self.now)
-        task = Task(invocation, self.workloads[invocation.workload], self.now)
+        task = RequestState(invocation, self.workloads[invocation.workload], self.now)
         self.tasks[invocation.number], task.story = task, self.serve(task)
         self.resume(task, None)
 
-    def serve(self, task: Task) -> Generator[Wish, Ended | None, None]:
+    def serve(self, task: RequestState) -> Generator[Wish, AttemptResult | None, None]:
         """One invocation from its arrival to its final answer; a satisfied one is ended from outside."""
         while True:
             may_send = self.may_send(task) and (bool(task.shots) or not self.too_much(task))
@@ -191,12 +190,12 @@
             else:
                 # Rule 2: rejected only where running again does no harm: not past a ticket's window.
                 ran, anywhere = task.may_have_run(), task.orders["group"] == "all"
-                anywhere = anywhere or task.orders["repeats"] is Repeats.RERUNNABLE
+                anywhere = anywhere or task.orders["repeats"] is RetrySafety.IDEMPOTENT
                 rejected = Rejected(0.5 if self.orders["may_say_back_in"] else None)
                 yield rejected if not ran or (anywhere and self.may_run(task, ran)) else BrokenOff()
                 return
 
-    def too_much(self, task: Task) -> bool:
+    def too_much(self, task: RequestState) -> bool:
         """Shed before queues tip, whatever fills them: by Little's law an answer takes shots out / answers a
         second, and the shortest target time must hold. What pays least for its work goes first. Harmful where
         answers come in bursts: so two a node go."""
@@ -221,73 +220,73 @@
             bound *= 0.7 if over else 1.0
         return out > bound
 
-    def may_send(self, task: Task) -> bool:  # Rule 2, and the number of shots
+    def may_send(self, task: RequestState) -> bool:  # Rule 2, and the number of shots
         may = len(task.shots) < self.orders["most_shots"] and self.now < task.deadline() - 0.01
         return may and self.may_run(task, task.may_have_run())
 
-    def may_run(self, task: Task, ran: Sequence[tuple[Node, float]]) -> bool:  # Rule 2: behind these
+    def may_run(self, task: RequestState, ran: Sequence[tuple[Node, float]]) -> bool:  # Rule 2: behind these
         how, since = task.orders["repeats"], ran[0][1] if ran else 0.0  # only ticketed ones have a window
-        kept = how is Repeats.TICKETED and self.now < since + task.orders["window"] - 0.05
-        return not ran or how is Repeats.RERUNNABLE or kept
+        kept = how is RetrySafety.KEYED and self.now < since + task.orders["window"] - 0.05
+        return not ran or how is RetrySafety.IDEMPOTENT or kept
 
     def still(self, number: int, shot: int) -> bool:
         """A shot waited for its connection: what it was chosen on may have passed. Rule 5 counts it anew."""
         (_, build, w), task = self.out[number, shot], self.tasks[number]
         may = self.may_run(task, task.may_have_run()[:-1])
         if may := may and (not self.on_trial(build) or self.cap_allows(task, build, 0)):
-            self.sent_to.setdefault(build, Window()).again(task.shots[shot][1], w, self.now)
+            self.sent_to.setdefault(build, SlidingWindow()).again(task.shots[shot][1], w, self.now)
         return may
 
-    def resume(self, task: Task, result: Ended | None) -> None:
+    def resume(self, task: RequestState, result: AttemptResult | None) -> None:
         number, wish = task.invocation.number, task.story.send(result)
         if isinstance(wish, Rejected | BrokenOff):
-            self.acts.append(Reject(number, wish.back_in) if isinstance(wish, Rejected) else BreakOff(number))
+            self.actions.append(RejectRequest(number, wish.back_in) if isinstance(wish, Rejected) else FailRequest(number))
             self.close(task)
             return
         if isinstance(wish, Shot):
             node, w = self.nodes[wish.node], task.invocation.workload
-            self.acts.append(Shoot(number, wish.node, wish.until))
+            self.actions.append(StartAttempt(number, wish.node, wish.until))
             self.out[number, len(task.shots)] = (node, node.entry.build, w)
             self.silent.sent(node, w)
-            self.sent_to.setdefault(node.entry.build, Window()).add(self.now, w)
+            self.sent_to.setdefault(node.entry.build, SlidingWindow()).add(self.now, w)
             task.shots, task.endings = [*task.shots, (node, self.now)], [*task.endings, None]
             node.silent_since = node.silent_since if node.held else self.now
             node.held, node.tokens = node.held + 1, node.tokens - 1
         task.wake = next(self.serial)
         if wish.patience is not None:
             at = min(self.now + wish.patience, max(task.deadline() - 0.01, self.now))
-            self.acts.append(Wake(at, f"{number} {task.wake}"))
+            self.actions.append(StartTimer(at, f"{number} {task.wake}"))
 
-    def close(self, task: Task) -> None:  # it has its final answer: what is still out is no use
+    def close(self, task: RequestState) -> None:  # it has its final answer: what is still out is no use
         self.tasks.pop(number := task.invocation.number, None)
         if self.orders["may_withdraw"]:
-            self.acts += [Withdraw(number, shot) for shot, end in enumerate(task.endings) if end is None]
+            self.actions += [CancelAttempt(number, shot) for shot, end in enumerate(task.endings) if end is None]
 
-    def on_wake(self, name: str) -> None:
+    def on_timer(self, name: str) -> None:
         first, _, second = name.partition(" ")
         if name == "beat":
             self.beat()
         elif name == "follow":
-            self.acts.append(FollowRoll())
+            self.actions.append(WatchEndpoints())
         elif first != "probe":
             if (task := self.tasks.get(int(first))) and task.wake == int(second):
                 self.resume(task, None)
         elif (node := self.nodes.get(int(second))) and node.aside:
-            self.acts.append(Probe(node.entry.node))
+            self.actions.append(CheckHealth(node.entry.node))
 
-    def on_client_left(self, number: int) -> None:
+    def on_client_disconnect(self, number: int) -> None:
         self.close(self.tasks[number]) if number in self.tasks else None
 
-    def on_ended(self, number: int, ended: Ended) -> None:
+    def on_attempt_result(self, number: int, ended: AttemptResult) -> None:
         task = self.tasks.get(number)
         if sent := self.out.pop((number, ended.shot), None):
             self.learn(*sent, ended)
             # An error is its node's and build's where another shot is satisfied: what fails anywhere
             # is nobody's. An exclusive one has no other and counts. Harmful where hardly any node can serve.
             blamed, doubts = [(*sent, ended)], task.doubts if task else []
-            if task and ended.ending is Ending.ERROR and task.orders["repeats"] is not Repeats.EXCLUSIVE:
+            if task and ended.ending is Outcome.ERROR and task.orders["repeats"] is not RetrySafety.NON_IDEMPOTENT:
                 task.doubts, blamed = doubts + blamed, []
-            for each in blamed + (doubts if ended.ending is Ending.SATISFIED else []):
+            for each in blamed + (doubts if ended.ending is Outcome.SUCCESS else []):
                 self.charge(*each)
         if task:
             task.endings[ended.shot] = ended.ending
@@ -301,14 +300,14 @@
             return bool(self.nodes) and self.lowest < build
         return build > self.news.build or (build == self.news.build and self.news.phase is not Phase.RELEASED)
 
-    def cap_allows(self, task: Task, build: int, more: int = 1) -> bool:  # Rule 5: own count in its window
+    def cap_allows(self, task: RequestState, build: int, more: int = 1) -> bool:  # Rule 5: own count in its window
         orders, news, w, how = self.orders, self.news, task.invocation.workload, task.orders["repeats"]
         told = news if news is not None and news.build == build else None
         cap, stage = (told.cap, told.stage) if told else (orders["caps"][0], 0)
-        if not cap or (how is not Repeats.RERUNNABLE and stage < orders.get("shielded_stages", 0)):
+        if not cap or (how is not RetrySafety.IDEMPOTENT and stage < orders.get("shielded_stages", 0)):
             return False
         all_count, after = orders["counted_by"] != "per_lane", self.now - orders["exposure_window"]
-        sent, kinds = self.sent_to.setdefault(build, Window()), () if all_count else (w,)
+        sent, kinds = self.sent_to.setdefault(build, SlidingWindow()), () if all_count else (w,)
         sent.forget(after)
         self.taken.forget(after, with_edge=True)
         shots, taken = sent.count(*kinds), self.taken.count(*kinds)
@@ -374,29 +373,29 @@
         first = int(self.me * 0.618034 % 1.0 * size)  # golden section: any run of numbers is spread
         return [nodes[(first + at) % size] for at in self.sample(range(int(width)), 2)]
 
-    def choose(self, task: Task) -> Node | None:
+    def choose(self, task: RequestState) -> Node | None:
         key, ran, ready, group = task.invocation.key, task.may_have_run(), self.ready, task.orders["group"]
-        if ran and task.orders["repeats"] is Repeats.TICKETED and group != "all":
+        if ran and task.orders["repeats"] is RetrySafety.KEYED and group != "all":
             of = attrgetter("zone" if group == "zone" else "cell")
             ready = [n for n in ready if of(n.entry) == of(ran[0][0].entry)]
         if key in self.stayed:
             ready = [n for n in ready if n.entry.build >= self.stayed[key]]
         if tried := {id(node) for node, _ in task.shots}:
             ready = [n for n in ready if id(n) not in tried] or ready
-        groups = self.groups if ready is self.ready else Groups(ready)
+        groups = self.groups if ready is self.ready else EndpointGroups(ready)
         trials = {b: self.cap_allows(task, b) for b in groups.builds if self.on_trial(b)}
         older, newer = groups.some(trials, but=True), groups.some([b for b, may in trials.items() if may])
         old, new = self.least_busy(older), self.least_busy(newer)
         # What broke is tried at the earlier build next: it tells whose fault it was, and spares the client.
-        if not old or not new or task.doubts or (self.news and self.news.phase is Phase.GOING_BACK):
+        if not old or not new or task.doubts or (self.news and self.news.phase is Phase.ROLLING_BACK):
             return old or new
         # A build on trial gets what its nodes can take, that times be like with like, however slow or faulty.
         warm = self.orders["warm_up"]
         old_part, new_part = (groups.part(each, self.now, warm, self.present) for each in (older, newer))
         return new if self.random() * (new_part + old_part) < new_part else old
 
-    def learn(self, node: Node, build: int, w: int, ended: Ended) -> None:  # of its node and the usual times
-        ending, took, ok = ended.ending, ended.took, ended.ending is Ending.SATISFIED
+    def learn(self, node: Node, build: int, w: int, ended: AttemptResult) -> None:  # of its node and the usual times
+        ending, took, ok = ended.ending, ended.took, ended.ending is Outcome.SUCCESS
         node.silent_since = node.told_at = self.now
         node.held, node.seen = node.held - 1, node.seen + 1
         self.silent.ended(node, w)
@@ -404,7 +403,7 @@
             self.done.add(self.now, w)
             self.pace[w] = learned(self.pace[w], took, 0.05)
             self.longest = max(self.longest if self.fleet else 0.0, max(self.pace)[0]) or 1.0
-        given_up = ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took > self.pace[w][0]
+        given_up = ending in (Outcome.TIMED_OUT, Outcome.CANCELLED) and took > self.pace[w][0]
         if (ok or given_up) and self.now - took >= self.woke_at:
             side = COLD if not self.warm(node) else ON_TRIAL if self.on_trial(build) else EARLIER
             self.ended.append((self.now, (w, node.entry.kind, side), took, ok))
@@ -412,15 +411,15 @@
             node.slow += (took / usual - was) * 0.2
             self.groups.moved("slow", node, was, node.slow)
 
-    def charge(self, node: Node, build: int, w: int, ended: Ended) -> None:  # to its node and build
-        if (ending := ended.ending) not in (Ending.WITHDRAWN, Ending.TURNED_AWAY, Ending.NOT_SENT):
-            node.faults += ({Ending.SATISFIED: 0.0, Ending.CUT: 0.5}.get(ending, 1.0) - node.faults) * 0.25
+    def charge(self, node: Node, build: int, w: int, ended: AttemptResult) -> None:  # to its node and build
+        if (ending := ended.ending) not in (Outcome.CANCELLED, Outcome.REJECTED, Outcome.NOT_SENT):
+            node.faults += ({Outcome.SUCCESS: 0.0, Outcome.CONNECTION_LOST: 0.5}.get(ending, 1.0) - node.faults) * 0.25
             # A node that fails often (a cut may be its link's) is set aside and probed, half of a build's at
             # most: more are the build, the load or this marshal's own view, and going round would hide it.
             if node.faults >= 0.4 and not node.aside and self.few_aside(node):
                 node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, 2 * node.hold))
                 self.groups.changed()
-                self.acts.append(Wake(self.now + node.hold, f"probe {node.entry.node}"))
+                self.actions.append(StartTimer(self.now + node.hold, f"probe {node.entry.node}"))
         if ending not in NEVER_RAN:
             self.judge(node, build, w, ending, ended.took)
 
@@ -428,75 +427,75 @@
         mates = self.groups.some([node.entry.build])
         return 2 * (len(mates.nodes) - len(mates.fit)) + 2 <= len(mates.nodes)
 
-    def on_probed(self, index: int, ending: Ending) -> None:
+    def on_health_check_result(self, index: int, ending: Outcome) -> None:
         if (node := self.nodes.get(index)) and node.aside:
-            node.probes_answered = node.probes_answered + 1 if ending is Ending.SATISFIED else 0
+            node.probes_answered = node.probes_answered + 1 if ending is Outcome.SUCCESS else 0
             if node.probes_answered >= 2:  # back on probation; set aside again, for twice as long
                 node.aside, node.faults = False, 0.3
                 self.groups.changed()
             else:
-                self.acts.append(Wake(self.now + 0.5, f"probe {index}"))
+                self.actions.append(StartTimer(self.now + 0.5, f"probe {index}"))
 
-    def judge(self, node: Node, build: int, w: int, ending: Ending, took: float) -> None:
-        broke, cut, trial = ending is Ending.ERROR, ending is Ending.CUT, self.trial
+    def judge(self, node: Node, build: int, w: int, ending: Outcome, took: float) -> None:
+        broke, cut, trial = ending is Outcome.ERROR, ending is Outcome.CONNECTION_LOST, self.trial
         own = pace, known = self.earlier_pace.get(key := (w, node.entry.kind), (0.0, 0))
         pace, known = (self.usual[key][0], 20) if known < 20 and key in self.usual else (pace, known)
-        if self.age(node) < 1.0 or (ending in (Ending.TIMED_OUT, Ending.WITHDRAWN) and took < 3 * pace):
+        if self.age(node) < 1.0 or (ending in (Outcome.TIMED_OUT, Outcome.CANCELLED) and took < 3 * pace):
             return  # just started, or given up too early to tell
-        on_trial = self.news is not None and self.news.phase is Phase.ON_TRIAL
+        on_trial = self.news is not None and self.news.phase is Phase.CANARY
         earlier = trial is None or build < trial.build
         # A cold node is late whatever it runs, and a marshal that stood still knows no times.
         warm = self.warm(node) and self.now - took >= self.woke_at
         timed = on_trial and warm and not (broke or cut or w in self.stuck)
         met = trial is not None and trial.own[0][1] >= min(5, 25 / self.orders["marshals"])  # it gets traffic
         if trial and timed:
-            b, middle, slow = trial.build, self.groups.middle, attrgetter("slow")
-            mates = middle("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
-            others = middle("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
+            b, median, slow = trial.build, self.groups.median, attrgetter("slow")
+            mates = median("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
+            others = median("slow", ("below", b), lambda n: n.entry.build < b, slow, mates)
             mates, others = (self.beside, 1.0) if self.beside else (mates, others)  # thin traffic: no middle
-        calm = self.calm_pace.get(key, (0.0, 0))[0] * (ending is Ending.SATISFIED)  # silence is not slowness
+        calm = self.calm_pace.get(key, (0.0, 0))[0] * (ending is Outcome.SUCCESS)  # silence is not slowness
         if trial and timed and met and calm:
             # Late, with no more traffic than before: it may slow all, but not if its own nodes are quicker
             # (0.7: beyond chance). The middle node must show it, here and below: no neighbour, pause, queue.
             was, node.drag = node.drag, learned(node.drag, took / calm, 0.15)
             self.groups.moved("drag", node, was[0] if was[1] else None, node.drag[0])
-            drag = middle("drag", 0, lambda n: n.drag[1] and not n.aside, lambda n: n.drag[0], 1.0)
+            drag = median("drag", 0, lambda n: n.drag[1] and not n.aside, lambda n: n.drag[0], 1.0)
             alike = drag > 1.3 and mates > 0.7 * others and self.load() < 1.35 * self.calm_load
-            self.move(Trial.EVERYWHERE, node, alike and took > 2.5 * calm)
-        if ending is Ending.SATISFIED and warm and (earlier or not on_trial):
+            self.move(SequentialTest.EVERYWHERE, node, alike and took > 2.5 * calm)
+        if ending is Outcome.SUCCESS and warm and (earlier or not on_trial):
             self.earlier_pace[key] = learned(own, took, 0.02)
         if earlier or not (on_trial or self.saw_trial):
             # What breaks here too from now on is no fault of the trial build; at sick nodes it might hide it.
-            late = (Trial.LATE, took > 3 * pace > 0)
-            for ratio, bad in ((0, broke), (Trial.CUT, cut), (Trial.FIRST + w, broke), late):
+            late = (SequentialTest.LATE, took > 3 * pace > 0)
+            for ratio, bad in ((0, broke), (SequentialTest.CUT, cut), (SequentialTest.FIRST + w, broke), late):
                 (was, n, fast), lately = self.past[ratio], bad and node.faults < 0.4
                 self.past[ratio] = was * 0.99 + bad, n * 0.99 + 1, fast + (lately - fast) * 0.1
         elif trial and build == trial.build:
-            for ratio, bad in ((0, broke), (Trial.CUT, cut), (Trial.FIRST + w, broke)):
+            for ratio, bad in ((0, broke), (SequentialTest.CUT, cut), (SequentialTest.FIRST + w, broke)):
                 self.move(ratio, node, bad)
             if known >= 20 and timed:
-                self.move(Trial.LATE, node, took > 3 * pace and mates > 1.2 * others)
+                self.move(SequentialTest.LATE, node, took > 3 * pace and mates > 1.2 * others)
         self.decide()
 
     def move(self, ratio: int, node: Node, bad: bool) -> None:
-        times, extra, unknown = Trial.ODDS[min(ratio, Trial.FIRST)]
-        late = ratio in (Trial.LATE, Trial.EVERYWHERE)
-        was, known, fast = self.past[Trial.LATE if late else ratio]
+        times, extra, unknown = SequentialTest.ODDS[min(ratio, SequentialTest.FIRST)]
+        late = ratio in (SequentialTest.LATE, SequentialTest.EVERYWHERE)
+        was, known, fast = self.past[SequentialTest.LATE if late else ratio]
         p0 = min(0.2, max(0.01, was / known if known >= 20 else unknown))
         p0 = p0 if late else max(p0, min(0.6, fast))
         p1 = min(0.95, times * p0 + extra)
         step = log(p1 / p0) if bad else log((1 - p1) / (1 - p0))
-        if ratio == Trial.EVERYWHERE and self.fleet:  # late together: a large fleet's are no more evidence
+        if ratio == SequentialTest.EVERYWHERE and self.fleet:  # late together: a large fleet's are no more evidence
             step *= min(1.0, 80 / max(1.0, self.fleet.rate))  # than a small one's, nor one queue's at a busy
-        elif ratio == Trial.LATE:  # node (over 8 a second, some are out together) than a calm one's
+        elif ratio == SequentialTest.LATE:  # node (over 8 a second, some are out together) than a calm one's
             step *= min(1.0, 8 / max(1.0, self.load()))
         word = self.trial.count(ratio, step, node.entry.mark, self.random) if self.trial else None
         for peer in self.fusers:
             self.tell(peer, word)
 
-    def tell(self, peer: int | None, word: Step | Totals | Fleet | None) -> None:
+    def tell(self, peer: int | None, word: LlrDelta | InstanceReport | FleetReport | None) -> None:
         if word and self.orders["may_tell"] and peer != self.me and self.orders["marshals"] > 1:
-            self.acts.append(Tell(peer, word))
+            self.actions.append(SendToPeer(peer, word))
 
     def tell_totals(self) -> None:
         """The design's remainder, as whole sums, and what this marshal does; the first fuser: what all do."""
@@ -507,7 +506,7 @@
         sums = {r: s for r, s in enumerate(trial.own) if s[1]} if trial else {}
         if trial:
             here, trial.unsent = (trial.build, trial.stage), [(0.0, 0)] * len(trial.own)
-        totals = Totals(self.life, *here, self.rate, self.shots_out(), times, sums)
+        totals = InstanceReport(self.life, *here, self.rate, self.shots_out(), times, sums)
         for peer in self.fusers:
             self.tell(peer, totals)
         if self.me in self.fusers and (self.me <= self.fleet_from or self.fleet_at < self.now - 2.5):
@@ -515,7 +514,7 @@
             self.hear_fleet(self.me, together([*rows, totals], self.leaning))
             self.tell(None, self.fleet)
 
-    def hear_fleet(self, peer: int, word: Fleet) -> None:
+    def hear_fleet(self, peer: int, word: FleetReport) -> None:
         self.fleet, self.fleet_at, self.fleet_from = word, self.now, peer
         self.does, self.usual = word.by_workload(len(self.workloads)), word.usual(self.LEAST)
         self.beside = word.slowness(self.usual, self.LEAST)
@@ -525,26 +524,26 @@
         known, least = zip(self.workloads, paces, strict=False), 3 * min(filter(None, paces), default=0.0)
         self.stuck = {w for w, (orders, pace) in enumerate(known) if pace > max(orders["target_time"], least)}
 
-    def on_peer(self, peer: int, word: Step | Totals | Fleet) -> None:
+    def on_peer_message(self, peer: int, word: LlrDelta | InstanceReport | FleetReport) -> None:
         if not 0 <= peer < self.orders["marshals"]:
             return
         self.fuser_heard = self.now if peer in self.fusers else self.fuser_heard
-        if isinstance(word, Fleet):
+        if isinstance(word, FleetReport):
             self.hear_fleet(peer, word)
-        elif isinstance(word, Totals):
+        elif isinstance(word, InstanceReport):
             self.reports[peer] = word, self.now
-        if self.trial and not isinstance(word, Fleet):
+        if self.trial and not isinstance(word, FleetReport):
             self.trial.hear(peer, word)
             self.decide()
 
-    def on_stage_news(self, news: StageNews) -> None:
-        if news.answers_vote:  # one that stands is renewed before it lapses
-            again = {Heard.COUNTED: self.orders["vote_life"] * 0.75, Heard.MOOT: 1.5, Heard.NO_ANSWER: 0.5}
-            self.cast_again = self.now + again.get(news.heard, 0.4 + 0.4 * self.random())
-        if news.heard is not Heard.COUNTED or news.build is None or news.stage is None:
+    def on_release_status(self, news: ReleaseStatus) -> None:
+        if news.is_vote_reply:  # one that stands is renewed before it lapses
+            again = {ReplyStatus.ACCEPTED: self.orders["vote_life"] * 0.75, ReplyStatus.STALE: 1.5, ReplyStatus.TIMED_OUT: 0.5}
+            self.cast_again = self.now + again.get(news.reply, 0.4 + 0.4 * self.random())
+        if news.reply is not ReplyStatus.ACCEPTED or news.build is None or news.stage is None:
             return
         last, self.news = self.news, news
-        judged = news.phase in (Phase.ON_TRIAL, Phase.RELEASED)
+        judged = news.phase in (Phase.CANARY, Phase.RELEASED)
         self.stayed = self.stayed if judged and last and last.build == news.build else {}
         if last and (last.build, last.stage, last.phase) == (news.build, news.stage, news.phase):
             return
@@ -554,11 +553,11 @@
             for node in self.nodes.values():
                 node.drag = (1.0, 0)
             self.groups.changed()
-        self.saw_trial = self.saw_trial or news.phase is Phase.ON_TRIAL
-        self.trial = Trial(news, len(self.past), self.life) if judged else None
+        self.saw_trial = self.saw_trial or news.phase is Phase.CANARY
+        self.trial = SequentialTest(news, len(self.past), self.life) if judged else None
         self.recall()
 
-    def take_up(self, lore: Lore) -> None:
+    def apply_inherited_state(self, lore: InheritedState) -> None:
         """What others saw before this marshal did (learning/), at its start or soon after. It overrules
         nothing that this marshal has seen itself, and allows nothing that it would not allow without."""
         if self.now < self.began + self.orders["exposure_window"] and not lore.window_known:
@@ -567,7 +566,7 @@
             self.strict_until = self.began
             for build in {build for _, _, build in lore.sent}:
                 rows = [(self.began - age, w) for age, w, each in lore.sent if each == build]
-                self.sent_to.setdefault(build, Window()).put_before(rows)
+                self.sent_to.setdefault(build, SlidingWindow()).put_before(rows)
             self.taken.put_before((self.began - age, w) for age, w in lore.taken)
         for index, told in lore.nodes.items():
             if (node := self.nodes.get(index)) and node.seen < 5:  # five endings outweigh any hearsay
@@ -575,7 +574,7 @@
                 node.told_at, node.others = self.now, (told.cold_rate, self.now + 2.0)
                 if told.aside and not node.aside and self.few_aside(node):
                     node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, told.hold))
-                    self.acts.append(Wake(self.now, f"probe {index}"))
+                    self.actions.append(StartTimer(self.now, f"probe {index}"))
                 self.groups.changed()
         for own, told in ((self.pace, lore.pace), (self.earlier_pace, lore.earlier_pace)):
             for key, (took, seen) in told.items():
@@ -592,10 +591,10 @@
             self.trial.hear(marshal, totals)
 
     def on_word(self, word: Word) -> None:  # tallies are late, complaints few, some false: no evidence
-        self.acts += [Wake(self.now + 1.0, "follow")] if word is Plain.ROLL_FAILED else []
+        self.actions += [StartTimer(self.now + 1.0, "follow")] if word is Plain.ROLL_FAILED else []
 
     def beat(self) -> None:  # what only time changes
-        self.acts.append(Wake(self.now + BEAT, "beat"))
+        self.actions.append(StartTimer(self.now + BEAT, "beat"))
         window = self.orders["exposure_window"]
         for rows in (self.taken, *self.sent_to.values()):
             rows.forget(self.now - window - 0.1)
@@ -629,11 +628,11 @@
         rank, needed = self.me if many else min(self.me, 3), max(1, self.needed.get(verdict, 1))
         after = 0.5 * max(0, rank + 1 - needed) * min(1.0, 4 / needed) + many * rank * self.call
         due = self.cast_again if verdict is standing else self.leaning_since + after
-        due = due if verdict is Verdict.BACK else max(due, self.voted + 0.5)
-        if self.now < due or (verdict is Verdict.NONE and standing is not Verdict.ON):
+        due = due if verdict is Verdict.ROLL_BACK else max(due, self.voted + 0.5)
+        if self.now < due or (verdict is Verdict.NONE and standing is not Verdict.PROMOTE):
             return
         self.cast, self.voted = (trial, verdict), self.now
         self.cast_again = self.now + self.orders["vote_timeout"] + 0.2
-        self.acts.append(Vote(trial.build, news.stage or 0, verdict))
+        self.actions.append(CastVote(trial.build, news.stage or 0, verdict))
         sums = [round(total, 1) for total in trial.sums]
-        self.acts.append(Note(f"vote {verdict.name} build {trial.build} stage {news.stage} sums {sums}"))
+        self.actions.append(LogMessage(f"vote {verdict.log_name.upper()} build {trial.build} stage {news.stage} sums {sums}"))
--- a/gatebank/capture/dialogues.py
+++ b/gatebank/capture/dialogues.py
@@ -233,7 +233,7 @@
                 for words in inbox.commands():
                     self.command([bytes(word) for word in words], at, way)
                     way.first = self.stream.packet
-            except resp.Broken:
+            except resp.ProtocolError:
                 # How it is answered is not known: nothing behind it is paired by order alone.
                 self.owner.counts["unreadable"] += 1
                 self.partial(way, at, data[inbox.start :])
@@ -301,7 +301,7 @@
                         self.doubted()
                 else:
                     self.answered(exchange, reply, at, self.stream.packet)
-        except resp.Broken:
+        except resp.ProtocolError:
             self.owner.counts["unreadable"] += 1
             self.lose(at)
             return
@@ -391,7 +391,7 @@
         """A command that is not whole is told with what is known of it."""
         try:
             words = resp.Inbox.over(rest, self.owner.bounds.message).words_so_far()
-        except resp.Broken:
+        except resp.ProtocolError:
             return
         if words and words[0].upper() in (b"Q.ASK", b"Q.DO"):
             names = self.stream.names
--- a/gatebank/capture/streams.py
+++ b/gatebank/capture/streams.py
@@ -234,7 +234,7 @@
         """Whatever fits by now, and what has waited for too long, or takes too much room."""
         while stream.waiting:
             if (found := next((e for e in stream.waiting if self.fits(stream, e)), None)) is not None:
-                self.take_up(stream, found)
+                self.apply_inherited_state(stream, found)
                 continue
             full = stream.waits > self.bounds.gap or self.held > self.bounds.gaps
             first = stream.waiting[0]
@@ -261,7 +261,7 @@
         own = half.acked >= 0 and 0 < ((half.acked - half.next) & WRAP) < HALF
         return own or self.beyond(stream, early) > 0
 
-    def take_up(self, stream: Stream, early: Early) -> None:
+    def apply_inherited_state(self, stream: Stream, early: Early) -> None:
         """It fits: what of it is new goes on, at the time and as the packet that it came with."""
         stream.waiting.remove(early)
         stream.waits -= early.size
@@ -292,7 +292,7 @@
         ahead = (chosen.number - stream.halves[chosen.side].next) & WRAP
         if 0 < ahead < HALF:
             self.skip(stream, chosen.side, chosen.at, ahead)
-        self.take_up(stream, chosen)
+        self.apply_inherited_state(stream, chosen)
 
     def earlier(self, stream: Stream, early: Early, side: int, end: int) -> bool:
         """Does it wait in this direction, with bytes before that number?"""
--- a/gatebank/cli/learn.py
+++ b/gatebank/cli/learn.py
@@ -40,11 +40,11 @@
     path = Path(source)
     if path.exists():
         return by_value(of_snapshot(path))
-    from gatebank.proxy.configuration import Unfit, address
+    from gatebank.proxy.configuration import ConfigurationError, address
 
     try:
         where = address(source, "source")
-    except Unfit as trouble:
+    except ConfigurationError as trouble:
         refuse(f"{trouble}, and no such file")
     return by_value(asyncio.run(of_instance(source, where, keys, configuration)))
 
@@ -93,7 +93,7 @@
 
     from gatebank.keys.folder import BadKeys, read
     from gatebank.keys.sealed import Sealed
-    from gatebank.proxy.configuration import Unfit, load_configuration
+    from gatebank.proxy.configuration import ConfigurationError, load_configuration
     from gatebank.proxy.sockets import opened
     from gatebank.state_transfer import protocol
     from gatebank.state_transfer.session import Link
@@ -102,9 +102,9 @@
     try:
         if configuration:
             posting = load_configuration(dict(os.environ) | {"ROUTER_CONFIG": str(configuration)})
-            deployment = protocol.deployment(posting.standing_orders)
+            deployment = protocol.deployment(posting.settings)
         tls = Sealed(read(keys).client, False) if keys else None
-    except (Unfit, BadKeys) as trouble:
+    except (ConfigurationError, BadKeys) as trouble:
         refuse(trouble)
     link: Link | None = None
     why = "no answer in time"
--- a/gatebank/cli/replay.py
+++ b/gatebank/cli/replay.py
@@ -20,7 +20,13 @@
 from gatebank.cli.source import INTERRUPTED, Source, refuse, warn
 from gatebank.operator_config import operators_file as operators
 from gatebank.proxy import log
-from gatebank.proxy.configuration import Address, Posting, Unfit, address, load_configuration
+from gatebank.proxy.configuration import (
+    Address,
+    Configuration,
+    ConfigurationError,
+    address,
+    load_configuration,
+)
 from gatebank.replay import report
 from gatebank.replay.entries import Kind
 from gatebank.replay.guard import Guard, Refused, written
@@ -80,7 +86,7 @@
     except operators.Unusable as trouble:
         typer.echo(str(trouble), err=True)
         raise typer.Exit(2) from None
-    except Unfit as trouble:
+    except ConfigurationError as trouble:
         refuse(trouble)
     if where is None:
         refuse(f"{way.inside}: it names no discovery")
@@ -168,7 +174,7 @@
     way: Way,
     guard: Guard,
     ledger: Ledger | None,
-    posting: Posting | None,
+    posting: Configuration | None,
     where: Address,
     found: Survey,
 ) -> dict[str, Any]:
--- a/gatebank/fakes/__main__.py
+++ b/gatebank/fakes/__main__.py
@@ -44,7 +44,6 @@
     await asyncio.Event().wait()
 
 
-
 @app.command()
 def world(
     host: str = typer.Option("127.0.0.1", help="Where all of it listens."),
--- a/gatebank/peer_messages.py
+++ b/gatebank/peer_messages.py
@@ -6,13 +6,13 @@
 Fleet is the same of all marshals together, with its sender's verdict on a build at a stage. ``life`` tells
 one start of a marshal from others.
 
->>> step = Step(life=7, build=42, stage=1, ratio=0, level=-3, seen=12, mark=513)
+>>> step = LlrDelta(life=7, build=42, stage=1, ratio=0, level=-3, seen=12, mark=513)
 >>> decode(encode(step)) == step, len(encode(step))
 (True, 12)
 >>> does = {(0, 1, ON_TRIAL): (8.5, 0.25, 0.0)}
->>> totals = Totals(7, 42, 1, rate=12.5, out=3, done=does, sums={0: (-1.25, 40), 4: (0.5, 3)})
->>> decode(encode(Fleet(360.0, 120.0, does, 42, 1, 3))), len(encode(totals))
-(Fleet(rate=360.0, out=120.0, done={(0, 1, 1): (8.5, 0.25, 0.0)}, build=42, stage=1, verdict=3), 29)
+>>> totals = InstanceReport(7, 42, 1, rate=12.5, out=3, done=does, sums={0: (-1.25, 40), 4: (0.5, 3)})
+>>> decode(encode(FleetReport(360.0, 120.0, does, 42, 1, 3))), len(encode(totals))
+(FleetReport(rate=360.0, out=120.0, done={(0, 1, 1): (8.5, 0.25, 0.0)}, build=42, stage=1, verdict=3), 29)
 >>> decode(encode(totals)) == totals, decode(encode(totals)[:-1]), decode(b"")
 (True, None, None)
 """
@@ -34,7 +34,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Step:
+class LlrDelta:
     life: int
     build: int  # the last 16 bits of its number, as in the words below
     stage: int
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Totals:
+class InstanceReport:
     life: int
     build: int
     stage: int
@@ -56,7 +56,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Fleet:
+class FleetReport:
     rate: float
     out: float
     done: Done
@@ -67,7 +67,7 @@
     def by_workload(self, many: int) -> list[tuple[float, float]]:
         """Answers a second and the time they took.
 
-        >>> Fleet(9.0, 1.0, {(1, 0, 1): (2.0, 0.5, 3.0), (1, 1, 0): (1.0, 0.5, 0.0)}).by_workload(2)
+        >>> FleetReport(9.0, 1.0, {(1, 0, 1): (2.0, 0.5, 3.0), (1, 1, 0): (1.0, 0.5, 0.0)}).by_workload(2)
         [(0.0, 0.0), (3.0, 1.0)]
         """
         rows = [[row for (w, _, _), row in self.done.items() if w == each] for each in range(many)]
@@ -85,7 +85,7 @@
 
         >>> here, there, cold = (0, 0, EARLIER), (0, 0, ON_TRIAL), (0, 0, COLD)
         >>> rows = {here: (9.0, 1.8, 0.0), there: (4.0, 0.8, 0.8), cold: (4.0, 9.0, 0.0)}
-        >>> fleet = Fleet(9.0, 1.0, rows)
+        >>> fleet = FleetReport(9.0, 1.0, rows)
         >>> fleet.slowness(fleet.usual(1.0), 1.0), fleet.slowness({}, 1.0)
         (2.0, 0.0)
         """
@@ -97,7 +97,7 @@
         return took / due if answers >= least and due > 0 else 0.0
 
 
-PeerMessage = Step | Totals | Fleet
+PeerMessage = LlrDelta | InstanceReport | FleetReport
 
 
 def mark(name: str) -> int:
@@ -105,12 +105,12 @@
     return crc32(name.encode()) & 0xFFFF
 
 
-def together(rows: list[Totals], verdict: int = 0) -> Fleet:
+def together(rows: list[InstanceReport], verdict: int = 0) -> FleetReport:
     """The sums of what each does, and a verdict on what the last judges.
 
     >>> one, two = {(0, 0, 0): (2.0, 0.5, 0.0)}, {(0, 0, 0): (1.0, 1.5, 3.0)}
-    >>> together([Totals(1, 0, 0, 2.0, 1, one, {}), Totals(2, 7, 1, 1.0, 2, two, {})], 1)
-    Fleet(rate=3.0, out=3, done={(0, 0, 0): (3.0, 2.0, 3.0)}, build=7, stage=1, verdict=1)
+    >>> together([InstanceReport(1, 0, 0, 2.0, 1, one, {}), InstanceReport(2, 7, 1, 1.0, 2, two, {})], 1)
+    FleetReport(rate=3.0, out=3, done={(0, 0, 0): (3.0, 2.0, 3.0)}, build=7, stage=1, verdict=1)
     """
     done: Done = {}
     for row in rows:
@@ -118,20 +118,20 @@
             was = done.get(key, (0.0, 0.0, 0.0))
             done[key] = (was[0] + figures[0], was[1] + figures[1], was[2] + figures[2])
     rate, out = sum(row.rate for row in rows), sum(row.out for row in rows)
-    return Fleet(rate, out, done, rows[-1].build, rows[-1].stage, verdict)
+    return FleetReport(rate, out, done, rows[-1].build, rows[-1].stage, verdict)
 
 
 def short(build: int) -> int:
     """A build's number as words hold it.
 
-    >>> decode(encode(Step(7, 20261202, 0, 0, 1, 1, 1))).build == short(20261202)
+    >>> decode(encode(LlrDelta(7, 20261202, 0, 0, 1, 1, 1))).build == short(20261202)
     True
     """
     return build & 0xFFFF
 
 
 def encode(word: PeerMessage) -> bytes:
-    if isinstance(word, Step):
+    if isinstance(word, LlrDelta):
         head = HEAD.pack(IS_STEP, word.life, short(word.build), word.stage)
         return head + STEP.pack(word.ratio, word.level, min(word.seen, 65535), word.mark)
     rows = islice((row for row in word.done.items() if row[0][0] < 256 and row[0][1] < 64), 24)
@@ -139,7 +139,7 @@
         DONE.pack(workload, 4 * kind + side, *(min(MOST, number) for number in each))
         for (workload, kind, side), each in rows
     )
-    if isinstance(word, Fleet):
+    if isinstance(word, FleetReport):
         head = FLEET.pack(IS_FLEET, word.rate, word.out, short(word.build), word.stage, word.verdict)
         return head + done
     sums = [ROW.pack(r, max(-MOST, min(MOST, v)), min(seen, 65535)) for r, (v, seen) in word.sums.items()]
@@ -156,11 +156,11 @@
             _, rate, out, build, stage, verdict = FLEET.unpack_from(data)
             done = unpacked(data[FLEET.size :])
             fits = verdict <= MOST_VERDICT and sound(rate, out, *chain(*done.values()))
-            return Fleet(rate, out, done, build, stage, verdict) if fits else None
+            return FleetReport(rate, out, done, build, stage, verdict) if fits else None
         tag, life, build, stage = HEAD.unpack_from(data)
         if tag == IS_STEP:
             ratio, level, seen, mark = STEP.unpack(data[HEAD.size :])
-            return Step(life, build, stage, ratio, level, seen, mark) if level else None
+            return LlrDelta(life, build, stage, ratio, level, seen, mark) if level else None
         if tag != ARE_TOTALS:
             return None
         rate, out, many = DOES.unpack_from(data, HEAD.size)
@@ -171,7 +171,9 @@
         return None
     if not sound(rate, out, *chain(*done.values()), *(abs(value) for _, value, _ in rows)):
         return None
-    return Totals(life, build, stage, rate, out, done, {ratio: (value, seen) for ratio, value, seen in rows})
+    return InstanceReport(
+        life, build, stage, rate, out, done, {ratio: (value, seen) for ratio, value, seen in rows}
+    )
 
 
 def unpacked(data: bytes) -> Done:
--- a/gatebank/proxy/configuration.py
+++ b/gatebank/proxy/configuration.py
@@ -10,13 +10,13 @@
 
 import orjson
 
-from gatebank.settings import standing_orders
+from gatebank.settings import read_settings
 
 Address = tuple[str, int]
 MB = 1024 * 1024
 
 
-class Unfit(Exception):
+class ConfigurationError(Exception):
     """The marshal can't start so; the text says what is wrong."""
 
 
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Posting:
+class Configuration:
     """Where a marshal stands and what it starts with."""
 
     name: str
@@ -58,7 +58,7 @@
     descriptors: int
     bounds: Bounds
     known: Mapping[str, Any] | None
-    standing_orders: Mapping[str, Any]
+    settings: Mapping[str, Any]
 
 
 def address(text: Any, what: str) -> Address:
@@ -67,7 +67,7 @@
     (('127.0.0.4', 6379), ('::1', 7))
     >>> address("somewhere:70000", "listen")
     Traceback (most recent call last):
-    gatebank.proxy.configuration.Unfit: listen: 'somewhere:70000' is no IP address and port
+    gatebank.proxy.configuration.ConfigurationError: listen: 'somewhere:70000' is no IP address and port
     """
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     host = host[1:-1] if host[:1] == "[" and host[-1:] == "]" else host
@@ -77,65 +77,65 @@
         found = "", 0
     if 0 < found[1] < 65536:
         return found
-    raise Unfit(f"{what}: {text!r} is no IP address and port")
+    raise ConfigurationError(f"{what}: {text!r} is no IP address and port")
 
 
 def optional(value: Any, what: str) -> Address | None:
     return None if value in (None, "") else address(value, what)
 
 
-def load_configuration(environment: Mapping[str, str]) -> Posting:
+def load_configuration(environment: Mapping[str, str]) -> Configuration:
     """From the variables, of which ROUTER_CONFIG names the file that holds the rest."""
     path = environment.get("ROUTER_CONFIG")
     if not path:
-        raise Unfit("ROUTER_CONFIG is not set; it names the configuration file")
+        raise ConfigurationError("ROUTER_CONFIG is not set; it names the configuration file")
     try:
         given = orjson.loads(Path(path).read_bytes())
     except OSError as trouble:
-        raise Unfit(f"{path}: {trouble.strerror}") from trouble
+        raise ConfigurationError(f"{path}: {trouble.strerror}") from trouble
     except orjson.JSONDecodeError as trouble:
-        raise Unfit(f"{path}: no JSON: {trouble}") from trouble
+        raise ConfigurationError(f"{path}: no JSON: {trouble}") from trouble
     if not isinstance(given, dict):
-        raise Unfit(f"{path}: not a JSON object")
+        raise ConfigurationError(f"{path}: not a JSON object")
     told = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"}
     given = {key: environment[name] for key, name in told.items() if environment.get(name)} | given
     try:
         return parse_configuration(given)
-    except Unfit as trouble:
-        raise Unfit(f"{path}: {trouble}") from trouble
+    except ConfigurationError as trouble:
+        raise ConfigurationError(f"{path}: {trouble}") from trouble
     except (KeyError, TypeError, ValueError, AttributeError) as trouble:
         what = f"{trouble} is missing" if isinstance(trouble, KeyError) else str(trouble)
-        raise Unfit(f"{path}: {what}") from trouble
+        raise ConfigurationError(f"{path}: {what}") from trouble
 
 
-def parse_configuration(given: Mapping[str, Any]) -> Posting:
+def parse_configuration(given: Mapping[str, Any]) -> Configuration:
     settings, limits = given.get("settings"), given.get("limits") or {}
     if not isinstance(settings, dict):
-        raise Unfit("settings: missing or not an object")
+        raise ConfigurationError("settings: missing or not an object")
     for key, least in (("me", 0), ("balancers", 1)):
         if not isinstance(settings.get(key), int) or settings[key] < least:
-            raise Unfit(f"settings: {key} is no number of at least {least}")
+            raise ConfigurationError(f"settings: {key} is no number of at least {least}")
     try:
-        orders = standing_orders(settings)
+        orders = read_settings(settings)
     except (KeyError, TypeError, ValueError, AttributeError) as trouble:
-        raise Unfit(f"settings: {type(trouble).__name__} {trouble}") from trouble
+        raise ConfigurationError(f"settings: {type(trouble).__name__} {trouble}") from trouble
     if not orders["workloads"] or not all("name" in each for each in orders["workloads"]):
-        raise Unfit("settings: a workload has no name, or there is none")
+        raise ConfigurationError("settings: a workload has no name, or there is none")
     desk, known = given.get("platform") or {}, given.get("known")
     peers = given.get("peers") or []
     if not isinstance(desk, dict) or not isinstance(peers, list) or not isinstance(limits, dict):
-        raise Unfit("platform, peers or limits has the wrong form")
+        raise ConfigurationError("platform, peers or limits has the wrong form")
     try:
         seed = int(str(given.get("seed", 0)), 16)
     except ValueError:
-        raise Unfit(f"seed: {given['seed']!r} is no hexadecimal number") from None
+        raise ConfigurationError(f"seed: {given['seed']!r} is no hexadecimal number") from None
     descriptors = limits.get("sockets", 1024)
     if not isinstance(descriptors, int) or descriptors < 32:
-        raise Unfit("limits: sockets is no number of at least 32")
+        raise ConfigurationError("limits: sockets is no number of at least 32")
     memory = limits.get("memory_mb", 192)
     if type(memory) not in (int, float) or not 16 <= memory < 1e6:
-        raise Unfit("limits: memory_mb is no number of at least 16")
-    return Posting(
+        raise ConfigurationError("limits: memory_mb is no number of at least 16")
+    return Configuration(
         name=str(given.get("name", "marshal")),
         listen=address(given.get("listen"), "listen"),
         roll=optional(given.get("discovery"), "discovery"),
@@ -148,5 +148,5 @@
         descriptors=descriptors,
         bounds=Bounds.within(memory),
         known=known if isinstance(known, dict) else None,
-        standing_orders=orders,
+        settings=orders,
     )
--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -14,10 +14,10 @@
 
 import orjson
 
-from gatebank.interface import Condition, RollEntry
+from gatebank.events import Condition, Endpoint
 from gatebank.peer_messages import mark
-from gatebank.proxy.configuration import Address, Unfit, address
-from gatebank.proxy.http import Caller, Unanswered
+from gatebank.proxy.configuration import Address, ConfigurationError, address
+from gatebank.proxy.http import Caller, NoReplyError
 from gatebank.proxy.log import say
 from gatebank.proxy.sockets import Turn
 
@@ -34,11 +34,11 @@
 CONDITIONS = {"SERVING": Condition.READY, "DRAINING": Condition.DRAINING, "DELETED": Condition.GONE}
 
 
-class Register:
+class EndpointRegistry:
     """Small indices for nodes' names, and where each stands. Emptied by `keep` as nodes leave the roll; an
     index is used again only after many others, when nothing speaks of the old node any more.
 
-    >>> register = Register({})
+    >>> register = EndpointRegistry({})
     >>> for name in range(2 * RESTS):
     ...     register.keep({register.node("stays"), register.node(str(name))})
     >>> len(register.names) <= RESTS + 3, register.node("stays"), len(register.index)
@@ -84,12 +84,12 @@
         where = None if gone else address(each["hostPort"], "hostPort")
         return name, where, (kind, zone, *whole, started, condition, weight)
 
-    def entry(self, name: str, where: Address | None, rest: tuple[Any, ...]) -> RollEntry:
+    def entry(self, name: str, where: Address | None, rest: tuple[Any, ...]) -> Endpoint:
         node = self.node(name)
         self.addresses[node] = where or self.addresses[node]
-        return RollEntry(node, mark(name), *rest)
+        return Endpoint(node, mark(name), *rest)
 
-    def entries(self, listing: Mapping[str, Any]) -> tuple[list[RollEntry], bool, int]:
+    def entries(self, listing: Mapping[str, Any]) -> tuple[list[Endpoint], bool, int]:
         """The entries, whether they are the whole list, and its version; ValueError if it can't be read, and
         then nothing of it is taken."""
         try:
@@ -97,7 +97,7 @@
             if type(version) is not int:
                 raise ValueError(f"version {version!r}")
             found = [self.read(each) for each in listing["instances"]]
-        except (KeyError, TypeError, ValueError, AttributeError, Unfit) as trouble:
+        except (KeyError, TypeError, ValueError, AttributeError, ConfigurationError) as trouble:
             raise ValueError(f"a listing can't be read: {type(trouble).__name__} {trouble}") from trouble
         return [self.entry(*each) for each in found], whole, version
 
@@ -106,7 +106,7 @@
     """Discovery answered that it does not answer."""
 
 
-class Tries:
+class PollBackoff:
     """How long a marshal waits before it calls again. An agent on its own machine costs nothing, so it waits
     the same short time always. Discovery itself is every marshal's, and who is refused by it is one of many:
     all configured together begin with so many tries a second, and fewer with each that fails, spread by
@@ -135,11 +135,11 @@
 
 async def follow(
     where: Address,
-    register: Register,
+    register: EndpointRegistry,
     version: int | None,
-    rolled: Callable[[list[RollEntry], bool], None],
+    rolled: Callable[[list[Endpoint], bool], None],
     failed: Callable[[], None],
-    tries: Tries,
+    tries: PollBackoff,
     count: Callable[[str], None],
     turn: Turn,
 ) -> None:
@@ -158,7 +158,7 @@
                 if status != 200:
                     raise Refused(f"discovery answered {status}")
                 entries, whole, version = register.entries(orjson.loads(body))
-            except (Unanswered, Refused, ValueError) as trouble:  # the last list stands
+            except (NoReplyError, Refused, ValueError) as trouble:  # the last list stands
                 if turn.over:
                     return
                 if not silent:
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -13,35 +13,37 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from gatebank.balancer import Marshal
-from gatebank.interface import (
-    BreakOff,
+from gatebank.actions import (
+    CancelAttempt,
+    CastVote,
+    CheckHealth,
+    FailRequest,
+    LogMessage,
+    RejectRequest,
+    SendToPeer,
+    StartAttempt,
+    StartTimer,
+    WatchEndpoints,
+)
+from gatebank.balancer import Balancer
+from gatebank.events import (
+    AttemptResult,
     Complaint,
     Condition,
-    Ended,
-    Ending,
-    FollowRoll,
-    Heard,
-    Invocation,
-    Note,
+    Endpoint,
+    Outcome,
     Phase,
     Plain,
-    Probe,
-    Reject,
-    RollEntry,
-    Shoot,
-    StageNews,
-    Tell,
-    Vote,
-    Wake,
-    Withdraw,
+    ReleaseStatus,
+    ReplyStatus,
+    Request,
 )
 from gatebank.peer_messages import PeerMessage
-from gatebank.proxy.discovery import Register
-from gatebank.proxy.downstream import Asked, PendingReply, Senseless
+from gatebank.proxy.discovery import EndpointRegistry
+from gatebank.proxy.downstream import ClientRequest, CommandError, PendingReply
 from gatebank.proxy.log import LOG, say
-from gatebank.proxy.peer_transport import Words
-from gatebank.proxy.release_service import Desk
+from gatebank.proxy.peer_transport import PeerTransport
+from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.upstream import Attempt, Key, Nodes
 
 AT_ONCE = 0.01  # s that a shot is written in where it need not wait for a connection
@@ -58,36 +60,36 @@
         return self.offset + time.monotonic()
 
 
-class Held:
+class RequestInFlight:
     """An invocation in hand; its row goes when it is answered and no shot of it is out."""
 
     __slots__ = ("answered", "asked", "deadline", "number", "out", "reply", "shots", "timer")
 
-    def __init__(self, number: int, asked: Asked, reply: PendingReply, deadline: float) -> None:
+    def __init__(self, number: int, asked: ClientRequest, reply: PendingReply, deadline: float) -> None:
         self.number, self.asked, self.reply, self.deadline = number, asked, reply, deadline
         self.shots: list[Attempt | None] = []
         self.out, self.answered = 0, False
         self.timer: asyncio.TimerHandle | None = None
 
 
-class Exchange:
+class Dispatcher:
     def __init__(
-        self, orders: dict[str, Any], seed: int, clock: Clock, register: Register, most_held: int
+        self, orders: dict[str, Any], seed: int, clock: Clock, register: EndpointRegistry, most_held: int
     ) -> None:
         self.orders, self.clock, self.register = orders, clock, register
         self.loop = asyncio.get_running_loop()
-        self.marshal = Marshal(orders, seed, clock())
+        self.marshal = Balancer(orders, seed, clock())
         self.nodes: Nodes  # these three are set before the first event
-        self.desk: Desk
-        self.words: Words | None = None
+        self.desk: ReleaseService
+        self.words: PeerTransport | None = None
         self.events: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # emptied by `turn`
         self.turning = False
-        self.held: dict[int, Held] = {}
+        self.held: dict[int, RequestInFlight] = {}
         self.free: list[int] = []  # numbers used before and free again
         self.ids: set[bytes] = set()  # of invocations in hand; each goes with its final answer
         self.held_bytes, self.most_held = 0, most_held
-        self.entries: dict[int, RollEntry] = {}  # the roll as told last
-        self.news: StageNews | None = None
+        self.entries: dict[int, Endpoint] = {}  # the roll as told last
+        self.news: ReleaseStatus | None = None
         self.counts: dict[str, int] = {}  # as many as there are kinds of endings and answers
         self.lag = 0.0  # s the latest wake came late, since last told: this process did not get its turn
         self.patience = min((o.get("target_time", 1.0) for o in orders["workloads"]), default=1.0)
@@ -108,45 +110,45 @@
                 except Exception:
                     LOG.exception("fault", extra={"keys": {"in": getattr(event, "__name__", event)}})
                     self.rescue(words)
-                acts, self.marshal.acts = self.marshal.acts, []
-                for act in acts:
+                actions, self.marshal.actions = self.marshal.actions, []
+                for action in actions:
                     try:
-                        self.carry_out(act)
+                        self.carry_out(action)
                     except Exception:
-                        LOG.exception("fault", extra={"keys": {"act": type(act).__name__}})
+                        LOG.exception("fault", extra={"keys": {"act": type(action).__name__}})
         finally:
             self.turning = False
 
     def rescue(self, words: tuple[Any, ...]) -> None:
         """The marshal failed in an event: no invocation is left without its final answer."""
         first = words[0] if words else None
-        held = self.held.get(first.number) if isinstance(first, Invocation | Held) else None
+        held = self.held.get(first.number) if isinstance(first, Request | RequestInFlight) else None
         if held:
             self.abandon(held)
 
-    def abandon(self, held: Held) -> None:
+    def abandon(self, held: RequestInFlight) -> None:
         """A final answer in the marshal's stead, which then forgets the invocation."""
         if not held.answered:
             held.reply.broken_off("broken off")
             self.forget(held, "abandoned")
 
-    def forget(self, held: Held, why: str) -> None:
+    def forget(self, held: RequestInFlight, why: str) -> None:
         """Nothing is owed for it any more, and the marshal did not decide so."""
         self.count(why)
         self.answered(held, why)
-        self.turn(self.marshal.on_client_left, held.number)
+        self.turn(self.marshal.on_client_disconnect, held.number)
         self.turn(self.settle, held)
 
-    def start(self, known: list[RollEntry] | None, news: StageNews | None) -> None:
+    def start(self, known: list[Endpoint] | None, news: ReleaseStatus | None) -> None:
         """What a marshal begins with: the roll as it last had it, then the release desk's news."""
         if known:
             self.rolled(known, True)
         if news:
             self.desk.take(news)
 
-    def invoked(self, asked: Asked, reply: PendingReply) -> None:
+    def invoked(self, asked: ClientRequest, reply: PendingReply) -> None:
         if asked.id in self.ids:  # a customer's own has a new one each time: this one is another's
-            raise Senseless("this id is in hand")
+            raise CommandError("this id is in hand")
         if self.held_bytes + asked.size + ROW > self.most_held:
             self.count("overfull")
             reply.rejected(None)
@@ -154,12 +156,12 @@
         self.ids.add(asked.id)
         self.count("repeated" if asked.repeated else "first tries")
         number = self.free.pop() if self.free else len(self.held)
-        held = Held(number, asked, reply, self.clock() + asked.left)
+        held = RequestInFlight(number, asked, reply, self.clock() + asked.left)
         self.held[number] = reply.held = held
         self.held_bytes += asked.size + ROW
         held.timer = self.loop.call_later(asked.left, self.time_is_up, held)
         fields = (asked.workload, asked.tenant, asked.left, asked.cost_guess, asked.key, asked.repeated)
-        self.turn(self.marshal.on_invocation, Invocation(number, *fields))
+        self.turn(self.marshal.on_request, Request(number, *fields))
 
     def give_up(self, reply: PendingReply) -> None:
         """Its connection must end, and its customer have an answer before."""
@@ -171,30 +173,30 @@
         if held and not held.answered:
             self.forget(held, "left")
 
-    def time_is_up(self, held: Held) -> None:
+    def time_is_up(self, held: RequestInFlight) -> None:
         """The customer's time limit: what is out ends, also where the customer has gone and settings forbid
         to withdraw; the final answer may still be owed."""
         for shot in held.shots:
             if shot:
-                shot.give_up(Ending.TIMED_OUT)
+                shot.give_up(Outcome.TIMED_OUT)
         if not held.answered:
             say("unanswered", logging.ERROR, workload=held.asked.workload)
             self.abandon(held)
 
     def shot_ended(
         self,
-        held: Held,
+        held: RequestInFlight,
         number: int,
         node: int,
         sent: float,
-        ending: Ending,
+        ending: Outcome,
         value: memoryview | None,
         report: Sequence[float] | None,
     ) -> None:
         took = self.clock() - sent
         held.shots[number] = None
         self.count(ending.value)
-        if ending is Ending.SATISFIED and value is not None and not held.answered:
+        if ending is Outcome.SUCCESS and value is not None and not held.answered:
             held.reply.satisfied(value)
             self.answered(held, "satisfied")
         if LOG.isEnabledFor(logging.DEBUG):
@@ -202,34 +204,34 @@
             build = self.entries[node].build if node in self.entries else None
             asked = held.asked.id.decode(errors="replace")
             say("shot", logging.DEBUG, id=asked, ending=ending.value, build=build, **keys)
-        self.turn(self.tell_ended, held, Ended(number, ending, took, False, report))
+        self.turn(self.tell_ended, held, AttemptResult(number, ending, took, False, report))
 
-    def tell_ended(self, held: Held, ended: Ended) -> None:
+    def tell_ended(self, held: RequestInFlight, ended: AttemptResult) -> None:
         held.out -= 1  # only now: until the marshal is told, the number must not be another's
-        over = Ended(ended.shot, ended.ending, ended.took, held.answered, ended.report)
+        over = AttemptResult(ended.shot, ended.ending, ended.took, held.answered, ended.report)
         try:
-            self.marshal.on_ended(held.number, over)
+            self.marshal.on_attempt_result(held.number, over)
         finally:
             self.settle(held)
 
-    def rolled(self, entries: list[RollEntry], whole: bool) -> None:
+    def rolled(self, entries: list[Endpoint], whole: bool) -> None:
         kept = {} if whole else dict(self.entries)
         for entry in entries:
             kept[entry.node] = entry
         self.entries = {i: entry for i, entry in kept.items() if entry.condition is not Condition.GONE}
-        self.turn(self.marshal.on_roll, entries, whole)
+        self.turn(self.marshal.on_endpoint_list, entries, whole)
         self.nodes.keep({self.key(entry) for entry in self.entries.values()})
         self.register.keep(self.entries)
 
-    def key(self, entry: RollEntry) -> Key:
+    def key(self, entry: Endpoint) -> Key:
         return entry.node, self.register.addresses[entry.node], entry.build, entry.started
 
-    def told(self, news: StageNews) -> None:
-        if news.heard is Heard.COUNTED:
+    def told(self, news: ReleaseStatus) -> None:
+        if news.reply is ReplyStatus.ACCEPTED:
             self.news = news
-        if news.answers_vote:
-            self.count(f"vote {news.heard.value}")
-        self.turn(self.marshal.on_stage_news, news)
+        if news.is_vote_reply:
+            self.count(f"vote {news.reply.value}")
+        self.turn(self.marshal.on_release_status, news)
 
     def roll_failed(self) -> None:
         self.turn(self.marshal.on_word, Plain.ROLL_FAILED)
@@ -238,42 +240,42 @@
         self.turn(self.marshal.on_word, complaint)
 
     def heard(self, peer: int, word: PeerMessage) -> None:
-        self.turn(self.marshal.on_peer, peer, word)
+        self.turn(self.marshal.on_peer_message, peer, word)
 
     def wake(self, at: float, name: str) -> None:
         self.lag = max(self.lag, self.clock() - at)
-        self.turn(self.marshal.on_wake, name)
+        self.turn(self.marshal.on_timer, name)
 
-    def probed(self, node: int, ending: Ending) -> None:
-        self.turn(self.marshal.on_probed, node, ending)
+    def probed(self, node: int, ending: Outcome) -> None:
+        self.turn(self.marshal.on_health_check_result, node, ending)
 
     # Acts out.
 
-    def carry_out(self, act: Any) -> None:
-        match act:
-            case Shoot(number, node, until):
+    def carry_out(self, action: Any) -> None:
+        match action:
+            case StartAttempt(number, node, until):
                 self.shoot(self.held[number], node, until)
-            case Wake(at, name):
+            case StartTimer(at, name):
                 self.loop.call_later(max(0.0, at - self.clock()), self.wake, at, name)
-            case Withdraw(number, shot):
+            case CancelAttempt(number, shot):
                 held = self.held.get(number)
                 if held and held.shots[shot]:
-                    held.shots[shot].give_up(Ending.WITHDRAWN)
-            case Reject(number, back_in):
+                    held.shots[shot].give_up(Outcome.CANCELLED)
+            case RejectRequest(number, back_in):
                 self.finish(number, lambda reply: reply.rejected(back_in), "rejected")
-            case BreakOff(number):
+            case FailRequest(number):
                 self.finish(number, lambda reply: reply.broken_off("broken off"), "broken_off")
-            case Tell(peer, word):
+            case SendToPeer(peer, word):
                 if self.words:
                     self.words.tell(peer, word)
-            case Vote():
-                say("vote", build=act.build, stage=act.stage, verdict=act.verdict.name.lower())
-                self.desk.vote(act)
-            case Probe(node):
+            case CastVote():
+                say("vote", build=action.build, stage=action.stage, verdict=action.verdict.log_name)
+                self.desk.vote(action)
+            case CheckHealth(node):
                 self.probe(node)
-            case Note(text):
+            case LogMessage(text):
                 say("note", text=text)
-            case FollowRoll():
+            case WatchEndpoints():
                 pass  # the roll is followed from the start
 
     def finish(self, number: int, answer: Callable[[PendingReply], None], how: str) -> None:
@@ -284,14 +286,14 @@
             answer(held.reply)
             self.settle(held)
 
-    def answered(self, held: Held, how: str) -> None:
+    def answered(self, held: RequestInFlight, how: str) -> None:
         held.answered = True
         self.ids.discard(held.asked.id)
         if LOG.isEnabledFor(logging.DEBUG):
             keys = {"workload": held.asked.workload, "shots": len(held.shots)}
             say("answered", logging.DEBUG, id=held.asked.id.decode(errors="replace"), how=how, **keys)
 
-    def settle(self, held: Held) -> None:
+    def settle(self, held: RequestInFlight) -> None:
         if held.answered and not held.out and self.held.get(held.number) is held:
             del self.held[held.number]
             self.free.append(held.number)
@@ -304,7 +306,7 @@
         news = self.news
         return news.cap or 0.0 if news and news.build == build and news.phase is not Phase.RELEASED else 1.0
 
-    def shoot(self, held: Held, node: int, until: float | None) -> None:
+    def shoot(self, held: RequestInFlight, node: int, until: float | None) -> None:
         now, number = self.clock(), len(held.shots)
         held.shots.append(None)
         held.out += 1
@@ -312,7 +314,7 @@
         end = min(held.deadline, until or held.deadline)
         most = self.orders.get("most_shots", 1)
         if held.answered or now >= end or number >= most or entry is None:
-            self.shot_ended(held, number, node, now, Ending.NOT_SENT, None, None)
+            self.shot_ended(held, number, node, now, Outcome.NOT_SENT, None, None)
             return
         cap = self.cap(entry.build)
 
@@ -329,7 +331,7 @@
                     return None
             return held.asked.command(end - late)
 
-        def ended(ending: Ending, value: memoryview | None, report: Sequence[float] | None) -> None:
+        def ended(ending: Outcome, value: memoryview | None, report: Sequence[float] | None) -> None:
             self.shot_ended(held, number, node, now, ending, value, report)
 
         mark = ""
@@ -339,15 +341,15 @@
         if not shot.done:
             held.shots[number] = shot
             if end < held.deadline:
-                shot.timer = self.loop.call_later(end - now, shot.give_up, Ending.TIMED_OUT)
+                shot.timer = self.loop.call_later(end - now, shot.give_up, Outcome.TIMED_OUT)
 
     def probe(self, node: int) -> None:
-        def ended(ending: Ending, *_: Any) -> None:
+        def ended(ending: Outcome, *_: Any) -> None:
             self.probed(node, ending)
 
         entry = self.entries.get(node)
         if entry is None or not self.orders.get("may_probe", False):
-            self.probed(node, Ending.NO_CONNECTION)
+            self.probed(node, Outcome.NO_CONNECTION)
             return
         self.count("probes")
         self.nodes.probe(self.key(entry), self.register.names[node], self.patience, ended)
--- a/gatebank/proxy/downstream.py
+++ b/gatebank/proxy/downstream.py
@@ -17,7 +17,7 @@
 from math import inf
 from typing import Any, Protocol
 
-from gatebank.interface import Repeats
+from gatebank.events import RetrySafety
 from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address, Bounds
 from gatebank.proxy.log import say
@@ -44,14 +44,14 @@
 FORMS = ((b"Q.DO", 5), (b"Q.ASK", 4))  # the command and its words: for others, and for rerunnable ones
 MOST_LEFT = 3_600_000  # ms: beyond an hour nobody waits for an answer
 
-Kinds = Mapping[str, tuple[int, Repeats]]  # workloads by name
+Kinds = Mapping[str, tuple[int, RetrySafety]]  # workloads by name
 
 
-class Senseless(Exception):
+class CommandError(Exception):
     """A command that can't be carried out; the text says why."""
 
 
-class Asked:
+class ClientRequest:
     """An invocation as a client wrote it, copied: it outlives the buffer, as it may need several shots.
     It is checked against the form that PROTOCOL gives, since a node closes on what it can't use, or turns it
     away, and neither the node nor its build would be at fault."""
@@ -60,25 +60,25 @@
 
     def __init__(self, words: Sequence[memoryview], workloads: Kinds, tenants: Mapping[str, int]) -> None:
         if len(words) < 4 or not words[1] or not words[2]:
-            raise Senseless("a command needs a key, an id and names and values")
+            raise CommandError("a command needs a key, an id and names and values")
         told = bytes(words[3]).decode("utf-8", "surrogateescape").split(",")  # unknown names pass unchanged
         pairs = [each.partition("=")[::2] for each in told]
         names = dict(pairs)
         if sum(name in KNOWN for name, _ in pairs) > len(KNOWN & names.keys()):
-            raise Senseless("a name stands twice")
+            raise CommandError("a name stands twice")
         if names.get("c") not in workloads:
-            raise Senseless("no such workload")
+            raise CommandError("no such workload")
         if tenants and names.get("t") not in tenants:
-            raise Senseless("no such tenant")
+            raise CommandError("no such tenant")
         self.workload, repeats = workloads[names["c"]]
         self.tenant = tenants.get(names.get("t", ""), 0)
-        if (bytes(words[0][:16]).upper(), len(words)) != FORMS[repeats is Repeats.RERUNNABLE]:
-            raise Senseless("this workload takes another command, or a body where there is none")
-        if repeats is Repeats.TICKETED and not names.get("k"):
-            raise Senseless("a ticketed invocation needs its ticket")
+        if (bytes(words[0][:16]).upper(), len(words)) != FORMS[repeats is RetrySafety.IDEMPOTENT]:
+            raise CommandError("this workload takes another command, or a body where there is none")
+        if repeats is RetrySafety.KEYED and not names.get("k"):
+            raise CommandError("a ticketed invocation needs its ticket")
         left, guess = number(names.get("d")), number(names.get("h"))
         if not left or left > MOST_LEFT:
-            raise Senseless("d is no time")
+            raise CommandError("d is no time")
         self.left, self.cost_guess = left / 1e3, guess / 1e6 if guess else None  # ms and us
         self.repeated = names.get("r") == "1"
         self.id = bytes(words[2])
@@ -97,8 +97,8 @@
         """As it goes to a node that has ``left`` seconds for it.
 
         >>> words = (b"Q.DO", b"k", b"id", b"z=\\xff,d=480,c=pay,z=1", b"body")
-        >>> kinds = {"pay": (0, Repeats.EXCLUSIVE)}
-        >>> Asked([memoryview(word) for word in words], kinds, {}).command(0.25)[29:]
+        >>> kinds = {"pay": (0, RetrySafety.NON_IDEMPOTENT)}
+        >>> ClientRequest([memoryview(word) for word in words], kinds, {}).command(0.25)[29:]
         b'$19\\r\\nz=\\xff,d=250,c=pay,z=1\\r\\n$4\\r\\nbody\\r\\n'
         """
         head, before, after, body = self.parts
@@ -120,10 +120,10 @@
     return float(text or 0) or None
 
 
-class Door(Protocol):
+class RequestHandler(Protocol):
     """What the exchange offers to clients."""
 
-    def invoked(self, asked: Asked, reply: PendingReply) -> None: ...
+    def invoked(self, asked: ClientRequest, reply: PendingReply) -> None: ...
     def client_left(self, reply: PendingReply) -> None: ...
     def give_up(self, reply: PendingReply) -> None: ...
 
@@ -213,7 +213,7 @@
                 self.handling = False
                 if taken != 1:  # more may wait: a read that finds bytes does not let others have their turn
                     await asyncio.sleep(0)
-        except resp.Broken as trouble:
+        except resp.ProtocolError as trouble:
             self.end(str(trouble))
         except OSError:
             pass
@@ -283,20 +283,20 @@
             if name == b"PING":
                 reply.answer([b"+PONG\r\n"])
             elif name in (b"Q.ASK", b"Q.DO"):
-                asked = Asked(words, self.owner.workloads, self.owner.tenants)
+                asked = ClientRequest(words, self.owner.workloads, self.owner.tenants)
                 reply.mark = asked.id
                 if self.owner.time_left() < asked.left:  # it might meet SIGKILL; so far it has run nowhere
                     reply.rejected(None)
                 else:
                     self.owner.door.invoked(asked, reply)
             else:
-                raise Senseless("unknown command")
+                raise CommandError("unknown command")
             self.senseless = 0
-        except Senseless as trouble:
+        except CommandError as trouble:
             reply.broken_off(str(trouble))
             self.senseless += 1
             if self.senseless >= SENSELESS:
-                raise resp.Broken("too many commands without sense") from trouble
+                raise resp.ProtocolError("too many commands without sense") from trouble
 
     def next_reply(self) -> PendingReply:
         reply = PendingReply(self)
@@ -393,7 +393,7 @@
 class Clients:
     record: Record | None = None  # makes the tape of a connection
 
-    def __init__(self, orders: Mapping[str, Any], door: Door, most: int, bounds: Bounds) -> None:
+    def __init__(self, orders: Mapping[str, Any], door: RequestHandler, most: int, bounds: Bounds) -> None:
         self.loop, self.door, self.most = asyncio.get_running_loop(), door, most
         self.most_owed, self.grown = bounds.answers, resp.Allowance(bounds.buffers)
         self.workloads = {each["name"]: (i, each["repeats"]) for i, each in enumerate(orders["workloads"])}
--- a/gatebank/proxy/http.py
+++ b/gatebank/proxy/http.py
@@ -18,7 +18,7 @@
 ROOM = 16 * 1024
 
 
-class Unanswered(Exception):
+class NoReplyError(Exception):
     """The call came to nothing; ``arrived`` tells whether it may have been carried out."""
 
     def __init__(self, why: str, arrived: bool) -> None:
@@ -76,7 +76,7 @@
             await self.loop.sock_sendall(sock, request)
         except OSError as trouble:
             self.close()
-            raise Unanswered(str(trouble), False) from trouble
+            raise NoReplyError(str(trouble), False) from trouble
 
     async def read(self) -> None:
         """One read into the parser."""
@@ -84,16 +84,16 @@
         try:
             size = await self.loop.sock_recv_into(self.sock, self.room)
             if not size:
-                raise Unanswered("the connection ended", True)
+                raise NoReplyError("the connection ended", True)
             self.parser.feed_data(memoryview(self.room)[:size])
         except OSError as trouble:
-            raise Unanswered(str(trouble), True) from trouble
+            raise NoReplyError(str(trouble), True) from trouble
         except httptools.HttpParserError as trouble:
             if not self.done:
-                raise Unanswered(f"no HTTP: {trouble}", True) from trouble
+                raise NoReplyError(f"no HTTP: {trouble}", True) from trouble
             self.keeps = False  # noise behind a whole answer: that stands, the connection does not
         if sum(map(len, self.body)) > MOST_BODY:
-            raise Unanswered("the answer is too long", True)
+            raise NoReplyError("the answer is too long", True)
 
     async def call(
         self, method: str, target: str, limit: float, form: str | None = None
@@ -108,7 +108,7 @@
                     await self.read()
         except TimeoutError:
             self.close()
-            raise Unanswered("no answer in time", arrived) from None
+            raise NoReplyError("no answer in time", arrived) from None
         except BaseException:
             self.close()
             raise
@@ -125,14 +125,14 @@
                 while not self.done and not trouble:
                     try:
                         await self.read()
-                    except Unanswered as found:  # what came before it has been told
+                    except NoReplyError as found:  # what came before it has been told
                         trouble = found
                     parts, self.body = self.body, []
                     limit.reschedule(self.loop.time() + silence)
                     for part in parts:
                         yield part
-            raise trouble or Unanswered("the stream ended", True)
+            raise trouble or NoReplyError("the stream ended", True)
         except TimeoutError:
-            raise Unanswered("nothing came, not even a sign of life", True) from None
+            raise NoReplyError("nothing came, not even a sign of life", True) from None
         finally:
             self.close()
--- a/gatebank/proxy/peer_transport.py
+++ b/gatebank/proxy/peer_transport.py
@@ -17,7 +17,7 @@
 TURN = 64  # datagrams taken before others get their turn
 
 
-class Words:
+class PeerTransport:
     def __init__(
         self,
         listen: Address,
--- a/gatebank/proxy/release_service.py
+++ b/gatebank/proxy/release_service.py
@@ -17,10 +17,11 @@
 from defusedxml import DefusedXmlException
 from defusedxml.ElementTree import fromstring
 
-from gatebank.interface import Complaint, Heard, Phase, StageNews, Verdict, Vote
+from gatebank.actions import CastVote
+from gatebank.events import Complaint, Phase, ReleaseStatus, ReplyStatus, Verdict
 from gatebank.proxy.configuration import Address
-from gatebank.proxy.discovery import Register
-from gatebank.proxy.http import Caller, Unanswered
+from gatebank.proxy.discovery import EndpointRegistry
+from gatebank.proxy.http import Caller, NoReplyError
 from gatebank.proxy.log import say
 from gatebank.proxy.sockets import Turn
 
@@ -33,15 +34,17 @@
 MOST_EVENT = 16 * 1024  # bytes of one event; what is longer is none of the desk's
 PHASES = {"IN_PROGRESS": 0, "ROLLING_BACK": 1, "COMPLETE": 2, "ROLLED_BACK": 3}
 REFUSALS = {
-    "too_many_calls": Heard.TOO_MANY, "out_of_date": Heard.MOOT, "unavailable": Heard.FAILED,
-    "bad_request": Heard.FAILED,
-}  # fmt: skip
+    "too_many_calls": ReplyStatus.RATE_LIMITED,
+    "out_of_date": ReplyStatus.STALE,
+    "unavailable": ReplyStatus.UNAVAILABLE,
+    "bad_request": ReplyStatus.UNAVAILABLE,
+}
 # A build's state only goes forward: through its stages, on, and back at any time.
-COURSE = (Phase.ON_TRIAL, Phase.RELEASED, Phase.GOING_BACK, Phase.WITHDRAWN)
-VERDICTS = {Verdict.NONE: "none", Verdict.ON: "on", Verdict.HOLD: "hold", Verdict.BACK: "back"}
+COURSE = (Phase.CANARY, Phase.RELEASED, Phase.ROLLING_BACK, Phase.ROLLED_BACK)
+VERDICTS = {Verdict.NONE: "none", Verdict.PROMOTE: "on", Verdict.HOLD: "hold", Verdict.ROLL_BACK: "back"}
 
 
-def state(fields: dict[str, Any]) -> StageNews:
+def state(fields: dict[str, Any]) -> ReleaseStatus:
     """
     >>> state({"image": "42", "ring": "1", "progress": "COMPLETE", "ceiling": "1", "lag_ms": "310"}).phase
     <Phase.RELEASED: 2>
@@ -51,44 +54,44 @@
         cap, age = float(fields["ceiling"]), float(fields.get("lag_ms", 0)) / 1000
         if build < 0 or stage < 0 or not 0 <= cap <= 1 or not -10 < age < 1e9:
             raise ValueError(f"build {build} stage {stage} cap {cap} age {age}")
-        return StageNews(
-            Heard.COUNTED, False, build, stage, Phase(PHASES[fields["progress"]]), cap, max(0.0, age)
+        return ReleaseStatus(
+            ReplyStatus.ACCEPTED, False, build, stage, Phase(PHASES[fields["progress"]]), cap, max(0.0, age)
         )
     except (KeyError, TypeError, ValueError) as trouble:
         raise ValueError(f"a state can't be read: {type(trouble).__name__} {trouble}") from trouble
 
 
-def answer(status: int, body: bytes) -> StageNews:
+def answer(status: int, body: bytes) -> ReleaseStatus:
     """What the desk's answer to a vote says.
 
-    >>> answer(400, b"<Error><Code>out_of_date</Code></Error>").heard
-    <Heard.MOOT: 'moot'>
-    >>> answer(500, b"<Error><Code>unavailable</Code></Error>").heard
-    <Heard.FAILED: 'failed'>
-    >>> answer(400, b"<Error><Code>bad_rpquest</Code></Error>").heard
-    <Heard.NO_ANSWER: 'no answer'>
-    >>> answer(200, b"<!DOCTYPE a [<!ENTITY b 'c'>]><Response>&b;</Response>").heard
-    <Heard.NO_ANSWER: 'no answer'>
+    >>> answer(400, b"<Error><Code>out_of_date</Code></Error>").reply
+    <ReplyStatus.STALE: 'moot'>
+    >>> answer(500, b"<Error><Code>unavailable</Code></Error>").reply
+    <ReplyStatus.UNAVAILABLE: 'failed'>
+    >>> answer(400, b"<Error><Code>bad_rpquest</Code></Error>").reply
+    <ReplyStatus.TIMED_OUT: 'no answer'>
+    >>> answer(200, b"<!DOCTYPE a [<!ENTITY b 'c'>]><Response>&b;</Response>").reply
+    <ReplyStatus.TIMED_OUT: 'no answer'>
     """
     try:
         tree = fromstring(body, forbid_dtd=True)
         if status == 200:
             states = [state({field.tag: field.text for field in item}) for item in tree.iter("item")]
-            return replace(max(states, key=lambda each: each.build or 0), answers_vote=True)
+            return replace(max(states, key=lambda each: each.build or 0), is_vote_reply=True)
         code = next((each.text for each in tree.iter("Code")), tree.text)
     except (ParseError, DefusedXmlException, ValueError, LookupError) as trouble:
         say("desk_unread", logging.WARNING, why=trouble)
-        return StageNews(Heard.NO_ANSWER, True)
+        return ReleaseStatus(ReplyStatus.TIMED_OUT, True)
     if code not in ("too_many_calls", "out_of_date"):
         say("vote_refused", logging.WARNING, status=status, code=code)
-    return StageNews(REFUSALS.get(code or "", Heard.NO_ANSWER), True)
+    return ReleaseStatus(REFUSALS.get(code or "", ReplyStatus.TIMED_OUT), True)
 
 
-def reached(news: StageNews) -> tuple[int, int, int]:
+def reached(news: ReleaseStatus) -> tuple[int, int, int]:
     """How far the newest build has come: the larger is the later.
 
-    >>> trial = StageNews(Heard.COUNTED, False, 42, 1, Phase.ON_TRIAL)
-    >>> back = replace(trial, stage=0, phase=Phase.GOING_BACK)
+    >>> trial = ReleaseStatus(ReplyStatus.ACCEPTED, False, 42, 1, Phase.CANARY)
+    >>> back = replace(trial, stage=0, phase=Phase.ROLLING_BACK)
     >>> reached(replace(trial, stage=0)) < reached(trial) < reached(back) < reached(replace(trial, build=43))
     True
     """
@@ -128,58 +131,58 @@
         return found
 
 
-class Desk:
+class ReleaseService:
     def __init__(
         self,
         where: Address | None,
-        register: Register,
+        register: EndpointRegistry,
         patience: float,
         clock: Callable[[], float],
-        told: Callable[[StageNews], None],
+        told: Callable[[ReleaseStatus], None],
         complained: Callable[[Complaint], None],
         workloads: dict[str, int],
     ) -> None:
         self.where, self.register, self.patience, self.clock = where, register, patience, clock
         self.told, self.complained, self.workloads = told, complained, workloads
-        self.latest: tuple[StageNews, float] | None = None  # the newest state and when it began
+        self.latest: tuple[ReleaseStatus, float] | None = None  # the newest state and when it began
         self.votes: set[asyncio.Task[None]] = set()  # a row a vote in hand; each goes with its answer
 
-    def take(self, news: StageNews) -> None:
+    def take(self, news: ReleaseStatus) -> None:
         """Stream and votes come by two connections: what is older than what was told is not news. Its age
         does not tell, as that was counted when it was written, and it may have been long on its way."""
-        if news.heard is Heard.COUNTED:
+        if news.reply is ReplyStatus.ACCEPTED:
             began = self.clock() - news.age
             last, last_began = self.latest or (news, began)
             same = (news.build, news.stage, news.phase) == (last.build, last.stage, last.phase)
             if reached(news) < reached(last):
                 say("desk_overtaken", build=news.build, stage=news.stage)
-                news = replace(last, answers_vote=news.answers_vote, age=self.clock() - last_began)
+                news = replace(last, is_vote_reply=news.is_vote_reply, age=self.clock() - last_began)
             else:
                 if not self.latest or not same:
-                    phase = news.phase.name.lower() if news.phase is not None else ""
+                    phase = news.phase.log_name if news.phase is not None else ""
                     say("stage", build=news.build, stage=news.stage, phase=phase, cap=news.cap, age=news.age)
                 self.latest = news, began
         self.told(news)
 
-    def vote(self, vote: Vote) -> None:
+    def vote(self, vote: CastVote) -> None:
         if not self.where or len(self.votes) >= VOTES:
-            asyncio.get_running_loop().call_soon(self.take, StageNews(Heard.FAILED, True))
+            asyncio.get_running_loop().call_soon(self.take, ReleaseStatus(ReplyStatus.UNAVAILABLE, True))
             return
         task = asyncio.ensure_future(self.cast(self.where, vote))
         self.votes.add(task)
         task.add_done_callback(self.votes.discard)
 
-    async def cast(self, where: Address, vote: Vote) -> None:
+    async def cast(self, where: Address, vote: CastVote) -> None:
         form = f"Action=PutApproval&image={vote.build}&ring={vote.stage}&opinion={VERDICTS[vote.verdict]}"
         caller = Caller(where)
         try:
             news = answer(*await caller.call("POST", CALLS, self.patience, form))
-        except Unanswered as trouble:
+        except NoReplyError as trouble:
             say("vote_lost", logging.WARNING, why=trouble, arrived=trouble.arrived)
-            news = StageNews(Heard.NO_ANSWER if trouble.arrived else Heard.FAILED, True)
+            news = ReleaseStatus(ReplyStatus.TIMED_OUT if trouble.arrived else ReplyStatus.UNAVAILABLE, True)
         finally:
             caller.close()
-        say("vote_answer", build=vote.build, verdict=vote.verdict.name.lower(), heard=news.heard.value)
+        say("vote_answer", build=vote.build, verdict=vote.verdict.log_name, heard=news.reply.value)
         self.take(news)
 
     async def follow(self, where: Address, turn: Turn) -> None:
@@ -197,7 +200,7 @@
                             lost, pause = False, PAUSE
                             self.event(name, data)
                             turn.begins()
-            except (Unanswered, ValueError) as trouble:
+            except (NoReplyError, ValueError) as trouble:
                 if turn.over:
                     return
                 if not lost:
--- a/gatebank/proxy/resp.py
+++ b/gatebank/proxy/resp.py
@@ -35,7 +35,7 @@
 FIRST_ROOM, LEAST_ROOM = 4096, 1024  # most messages fit the first; a read wants the second
 
 
-class Broken(Exception):
+class ProtocolError(Exception):
     """What came is not RESP2, or larger than allowed; the text says what."""
 
 
@@ -98,10 +98,10 @@
         self.start, self.end = 0, held
         if len(self.data) - held < LEAST_ROOM:
             if held >= self.most:
-                raise Broken("a message is too long")
+                raise ProtocolError("a message is too long")
             more = min(held, self.most - held) + LEAST_ROOM - (len(self.data) - held)
             if not self.allowance.take(more):
-                raise Broken("no room for a message so long")
+                raise ProtocolError("no room for a message so long")
             self.taken += more
             self.data = self.data + bytearray(more)
         return memoryview(self.data)[held:]
@@ -128,7 +128,7 @@
         found = self.data.find(b"\r\n", at, self.end)
         if found < 0:
             if self.end - at > most:
-                raise Broken("a line is too long")
+                raise ProtocolError("a line is too long")
             return None
         return found, found + 2
 
@@ -139,14 +139,14 @@
         text = bytes(self.data[at + 1 : line[0]])
         digits = text[1:] if text[:1] == b"-" else text
         if not digits.isdigit() or len(digits) > 9 or not least <= int(text) <= most:
-            raise Broken("a length is senseless")
+            raise ProtocolError("a length is senseless")
         return int(text), line[1]
 
     def bulk(self, at: int, least: int) -> tuple[memoryview | None, int] | None:
         if at >= self.end:
             return None
         if self.data[at] != 0x24:  # $
-            raise Broken("no bulk string where one belongs")
+            raise ProtocolError("no bulk string where one belongs")
         if not (found := self.size(at, least, self.most_value)):
             return None
         size, begin = found
@@ -156,7 +156,7 @@
             self.needs = begin + size + 2 - self.start
             return None
         if self.data[begin + size : begin + size + 2] != b"\r\n":
-            raise Broken("a bulk string does not end where it says")
+            raise ProtocolError("a bulk string does not end where it says")
         return memoryview(self.data)[begin : begin + size], begin + size + 2
 
     def array(self, least: int) -> tuple[list[memoryview | None], int] | None:
@@ -180,7 +180,7 @@
                 while len(found) < count[0] and (bulk := self.bulk(at, 0)):
                     found.append(bytes(bulk[0] or b""))
                     at = bulk[1]
-            except Broken:  # the next is none
+            except ProtocolError:  # the next is none
                 pass
         return found
 
@@ -191,10 +191,10 @@
             if self.data[self.start] in b"\r\n":
                 self.start, blank = self.start + 1, blank + 1
                 if blank > MOST_BLANK:
-                    raise Broken("nothing but blank lines")
+                    raise ProtocolError("nothing but blank lines")
                 continue
             if self.data[self.start] != 0x2A:  # *
-                raise Broken("a command is an array of bulk strings")
+                raise ProtocolError("a command is an array of bulk strings")
             if not (found := self.array(0)):
                 return
             words, self.start = found
@@ -219,7 +219,7 @@
                 words = [memoryview(self.data)[self.start + 1 : line[0]]]
                 self.start = line[1]
             else:
-                raise Broken("an answer begins with no known mark")
+                raise ProtocolError("an answer begins with no known mark")
             yield Reply(mark, words)
 
 
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -13,14 +13,14 @@
 
 import uvloop
 
-from gatebank.interface import RollEntry, StageNews
-from gatebank.proxy.configuration import Posting, Unfit, load_configuration
-from gatebank.proxy.discovery import Register, Tries, follow
-from gatebank.proxy.dispatcher import Clock, Exchange
+from gatebank.events import Endpoint, ReleaseStatus
+from gatebank.proxy.configuration import Configuration, ConfigurationError, load_configuration
+from gatebank.proxy.discovery import EndpointRegistry, PollBackoff, follow
+from gatebank.proxy.dispatcher import Clock, Dispatcher
 from gatebank.proxy.downstream import Clients
 from gatebank.proxy.log import LOG, say
-from gatebank.proxy.peer_transport import Words
-from gatebank.proxy.release_service import Desk, state
+from gatebank.proxy.peer_transport import PeerTransport
+from gatebank.proxy.release_service import ReleaseService, state
 from gatebank.proxy.sockets import Turn
 from gatebank.proxy.upstream import Nodes
 
@@ -55,7 +55,7 @@
 Others = Sequence[Standing | None]
 
 
-async def tend(exchange: Exchange, nodes: Nodes, clients: Clients, others: Others) -> None:
+async def tend(exchange: Dispatcher, nodes: Nodes, clients: Clients, others: Others) -> None:
     turns = 0
     while True:
         await asyncio.sleep(EVERY)
@@ -65,7 +65,7 @@
             stand(exchange, nodes, clients, others)
 
 
-def stand(exchange: Exchange, nodes: Nodes, clients: Clients, others: Others) -> None:
+def stand(exchange: Dispatcher, nodes: Nodes, clients: Clients, others: Others) -> None:
     memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
     counts = {name.replace(" ", "_"): number for name, number in sorted(exchange.counts.items())}
     say(
@@ -89,29 +89,29 @@
 
 
 def at_start(
-    posting: Posting, register: Register
-) -> tuple[list[RollEntry] | None, int | None, StageNews | None]:
+    posting: Configuration, register: EndpointRegistry
+) -> tuple[list[Endpoint] | None, int | None, ReleaseStatus | None]:
     """What the configuration says of the roll, its version, and the newest build."""
     try:
         known, _, version = register.entries(posting.known) if posting.known else (None, None, None)
         return known, version, state(dict(posting.desk_news)) if posting.desk_news else None
     except (TypeError, ValueError) as trouble:
-        raise Unfit(str(trouble)) from trouble
+        raise ConfigurationError(str(trouble)) from trouble
 
 
-class Following:
+class ControlPlaneWatches:
     """What follows discovery and the release desk; owns both tasks. `move` begins them anew at the addresses
     told: another discovery may count its versions otherwise, so it tells the whole list. What was followed so
     far ends with the first word from there, or with its connection."""
 
-    def __init__(self, exchange: Exchange, register: Register, desk: Desk) -> None:
+    def __init__(self, exchange: Dispatcher, register: EndpointRegistry, desk: ReleaseService) -> None:
         self.exchange, self.register, self.desk = exchange, register, desk
         self.turns: dict[str, Turn] = {}  # what is followed, by its name: two rows at most
 
-    def move(self, posting: Posting, version: int | None = None) -> None:
+    def move(self, posting: Configuration, version: int | None = None) -> None:
         exchange = self.exchange
         if where := posting.roll:
-            tries = Tries(exchange.orders, Random(f"{posting.seed} roll"))
+            tries = PollBackoff(exchange.orders, Random(f"{posting.seed} roll"))
             told = (exchange.rolled, exchange.roll_failed, tries, exchange.count)
             self.follow("roll", lambda turn: follow(where, self.register, version, *told, turn))
         else:
@@ -136,7 +136,10 @@
 
 
 async def reload(
-    told: asyncio.Event, environment: Mapping[str, str], following: Following, learning: Learning | None
+    told: asyncio.Event,
+    environment: Mapping[str, str],
+    following: ControlPlaneWatches,
+    learning: Learning | None,
 ) -> None:
     """After each SIGHUP: the file is read and checked whole; until it can be, what was told before stands."""
     pause, why = AGAIN, ""
@@ -146,8 +149,8 @@
             learning.look()
         try:
             posting = load_configuration(environment)
-            at_start(posting, Register(posting.standing_orders))
-        except Unfit as trouble:
+            at_start(posting, EndpointRegistry(posting.settings))
+        except ConfigurationError as trouble:
             if str(trouble) != why:
                 say("reload_failed", logging.ERROR, why=trouble)
             why = str(trouble)
@@ -161,7 +164,7 @@
             say("reloaded", **{what: f"{at[0]}:{at[1]}" if at else "none" for what, at in where.items()})
 
 
-def recorder_for(posting: Posting, operators: OperatorsFile | None) -> Recorder | None:
+def recorder_for(posting: Configuration, operators: OperatorsFile | None) -> Recorder | None:
     """What the operators' file asks to be recorded; without it nothing of that is imported."""
     if operators is None:
         return None
@@ -174,11 +177,13 @@
         recorder = Recorder(told, operators.folder, posting.name)
         recorder.start()
     except Unrecordable as trouble:
-        raise Unfit(f"{operators.path}: {trouble}") from trouble
+        raise ConfigurationError(f"{operators.path}: {trouble}") from trouble
     return recorder
 
 
-def learning_for(posting: Posting, operators: OperatorsFile | None, exchange: Exchange) -> Learning | None:
+def learning_for(
+    posting: Configuration, operators: OperatorsFile | None, exchange: Dispatcher
+) -> Learning | None:
     """What the operators' file says of learning; without it nothing of that is imported."""
     if operators is None:
         return None
@@ -192,23 +197,23 @@
     try:
         found = Learning(told, operators.one(KeysFolder), operators.folder, exchange, posting.name)
         found.listen()
-    except Unfit as trouble:
-        raise Unfit(f"{operators.path}: {trouble}") from trouble
+    except ConfigurationError as trouble:
+        raise ConfigurationError(f"{operators.path}: {trouble}") from trouble
     return found
 
 
 async def marshal(
-    posting: Posting, environment: Mapping[str, str], operators: OperatorsFile | None = None
+    posting: Configuration, environment: Mapping[str, str], operators: OperatorsFile | None = None
 ) -> None:
     loop = asyncio.get_running_loop()
-    orders, clock = dict(posting.standing_orders), Clock()
-    register = Register(orders)
+    orders, clock = dict(posting.settings), Clock()
+    register = EndpointRegistry(orders)
     bounds = posting.bounds
-    exchange = Exchange(orders, posting.seed, clock, register, bounds.commands)
+    exchange = Dispatcher(orders, posting.seed, clock, register, bounds.commands)
     room = posting.descriptors - ALSO
     nodes = exchange.nodes = Nodes(orders, room // 2, bounds.buffers)
     clients = Clients(orders, exchange, room - room // 2, bounds)
-    exchange.desk = desk = Desk(
+    exchange.desk = desk = ReleaseService(
         posting.desk, register, orders.get("vote_timeout", 2.0), clock, exchange.told, exchange.complained,
         {name: index for name, (index, _) in clients.workloads.items()},
     )  # fmt: skip
@@ -216,16 +221,16 @@
     if recorder:
         clients.record, nodes.record = recorder.clients, recorder.nodes
     leaving, told = asyncio.Event(), asyncio.Event()
-    following = Following(exchange, register, desk)
+    following = ControlPlaneWatches(exchange, register, desk)
     tasks: list[asyncio.Future[None]] = []
     learning: Learning | None = None
     try:
         try:
             if posting.peer_listen and orders.get("may_tell"):
                 peers = (posting.peer_listen, posting.peers, posting.peers_all, orders["me"])
-                exchange.words = Words(*peers, exchange.heard)
+                exchange.words = PeerTransport(*peers, exchange.heard)
         except OSError as trouble:
-            raise Unfit(f"{posting.peer_listen}: {trouble.strerror}") from trouble
+            raise ConfigurationError(f"{posting.peer_listen}: {trouble.strerror}") from trouble
         known, version, news = at_start(posting, register)
         exchange.start(known, news)
         if learning := learning_for(posting, operators, exchange):
@@ -238,7 +243,9 @@
         try:
             clients.listen(posting.listen)
         except OSError as trouble:
-            raise Unfit(f"{posting.listen[0]}:{posting.listen[1]}: {trouble.strerror}") from trouble
+            raise ConfigurationError(
+                f"{posting.listen[0]}:{posting.listen[1]}: {trouble.strerror}"
+            ) from trouble
         work: dict[str, Callable[[], Awaitable[None]]] = {
             "accept": clients.accept,
             "tend": lambda: tend(exchange, nodes, clients, [recorder, learning]),
@@ -274,6 +281,8 @@
         await asyncio.sleep(0)
 
 
-def serve(posting: Posting, environment: Mapping[str, str], operators: OperatorsFile | None = None) -> None:
+def serve(
+    posting: Configuration, environment: Mapping[str, str], operators: OperatorsFile | None = None
+) -> None:
     logging.getLogger("asyncio").setLevel(logging.ERROR)
     uvloop.run(marshal(posting, environment, operators))
--- a/gatebank/proxy/upstream.py
+++ b/gatebank/proxy/upstream.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from gatebank.interface import Ending
+from gatebank.events import Outcome
 from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address
 from gatebank.proxy.log import say
@@ -28,7 +28,7 @@
 # from one marshal, and connections are dear.
 REST = 0.02
 Key = tuple[int, Address, int, float | None]  # node, where it listens, build, start
-Ended = Callable[[Ending, memoryview | None, Sequence[float] | None], None]
+AttemptResult = Callable[[Outcome, memoryview | None, Sequence[float] | None], None]
 
 
 class Attempt:
@@ -37,7 +37,7 @@
     __slots__ = ("connection", "done", "ended", "mark", "probe", "timer", "tries", "written")
 
     def __init__(
-        self, tries: Callable[[], bytes | None], ended: Ended, probe: bool, mark: str = ""
+        self, tries: Callable[[], bytes | None], ended: AttemptResult, probe: bool, mark: str = ""
     ) -> None:
         self.tries, self.ended, self.probe = tries, ended, probe
         self.mark = mark  # for a recording: which attempt of which invocation
@@ -46,7 +46,7 @@
         self.done = self.written = False  # written: to its last byte, or that is on its way
 
     def finish(
-        self, ending: Ending, value: memoryview | None = None, report: Sequence[float] | None = None
+        self, ending: Outcome, value: memoryview | None = None, report: Sequence[float] | None = None
     ) -> None:
         if not self.done:
             self.done = True
@@ -54,7 +54,7 @@
                 self.timer.cancel()
             self.ended(ending, value, report)
 
-    def give_up(self, ending: Ending) -> None:
+    def give_up(self, ending: Outcome) -> None:
         """Withdrawn or out of time: its connection is closed, that it is not out twice."""
         if not self.done:
             if self.connection:
@@ -87,7 +87,7 @@
         """False if the attempt is no longer wanted: then nothing was done."""
         data = attempt.tries()
         if data is None:
-            attempt.finish(Ending.NOT_SENT)
+            attempt.finish(Outcome.NOT_SENT)
             return False
         self.attempts.append(attempt)
         attempt.connection = self
@@ -133,7 +133,7 @@
                     self.tape.replied(bytes(inbox.data[inbox.end - size : inbox.end]))
                 for reply in inbox.replies():
                     if not self.attempts or not self.attempts[0].written:
-                        raise resp.Broken("it answered what was not asked")
+                        raise resp.ProtocolError("it answered what was not asked")
                     attempt = self.attempts[0]
                     told = pong(reply) if attempt.probe else owner.understood(reply)
                     self.attempts.popleft()
@@ -145,11 +145,11 @@
                     if behind < 0:
                         break
                     if inbox.held or behind:
-                        raise resp.Broken("more came than one answer")
+                        raise resp.ProtocolError("more came than one answer")
                     self.handling = False
                     self.pool.rest(self)
                 self.handling = False
-        except resp.Broken as trouble:
+        except resp.ProtocolError as trouble:
             keys = {"idle": time.monotonic() - self.idle_since} if not self.attempts else {}
             say("node_broken", logging.WARNING, node=self.pool.name, why=trouble, **keys)
         except OSError:
@@ -180,7 +180,7 @@
         an answer would be taken for this one's."""
         return not self.writer and not self.handling and not self.reading.done and len(self.attempts) < most
 
-    def forsake(self, attempt: Attempt, ending: Ending) -> None:
+    def forsake(self, attempt: Attempt, ending: Outcome) -> None:
         if self.tape and attempt.mark:
             self.forsaken = f"{attempt.mark} {ending.value}"
         if all(each.done or each is attempt for each in self.attempts):
@@ -203,11 +203,11 @@
         give_back(self.sock, self.reader, self.writer)
         while self.attempts:
             attempt = self.attempts.popleft()
-            attempt.finish(Ending.CUT if attempt.written else Ending.NO_CONNECTION)
+            attempt.finish(Outcome.CONNECTION_LOST if attempt.written else Outcome.NO_CONNECTION)
 
 
-def pong(reply: resp.Reply) -> tuple[Ending, None, None]:
-    return (Ending.SATISFIED if reply.mark == "+" else Ending.ERROR), None, None
+def pong(reply: resp.Reply) -> tuple[Outcome, None, None]:
+    return (Outcome.SUCCESS if reply.mark == "+" else Outcome.ERROR), None, None
 
 
 class ConnectionPool:
@@ -232,7 +232,7 @@
     def strand(self) -> None:
         """Who waits with no connection left or coming has waited for nothing."""
         while self.waiting and not self.connections and not self.coming:
-            self.waiting.popleft().finish(Ending.NO_CONNECTION)
+            self.waiting.popleft().finish(Outcome.NO_CONNECTION)
 
     def park(self, connection: Connection) -> None:
         """A connection has nothing out and owes nothing: to the first that waits and is wanted, or idle."""
@@ -303,7 +303,7 @@
         key: Key,
         name: str,
         tries: Callable[[], bytes | None],
-        ended: Ended,
+        ended: AttemptResult,
         probe: bool = False,
         mark: str = "",
     ) -> Attempt:
@@ -334,13 +334,13 @@
                     self.loop.call_later(REST, pool.rested)
             else:
                 say("no_descriptor", logging.WARNING, open=self.open)
-                attempt.finish(Ending.NOT_SENT)
+                attempt.finish(Outcome.NOT_SENT)
         return attempt
 
-    def probe(self, key: Key, name: str, patience: float, ended: Ended) -> None:
+    def probe(self, key: Key, name: str, patience: float, ended: AttemptResult) -> None:
         attempt = self.send(key, name, lambda: PING, ended, probe=True)
         if not attempt.done:
-            attempt.timer = self.loop.call_later(patience, attempt.give_up, Ending.TIMED_OUT)
+            attempt.timer = self.loop.call_later(patience, attempt.give_up, Outcome.TIMED_OUT)
 
     async def connect(self, pool: ConnectionPool, attempt: Attempt) -> None:
         where = pool.key[1]
@@ -358,7 +358,7 @@
                 raise
             if attempt in pool.waiting:
                 pool.waiting.remove(attempt)
-                attempt.finish(Ending.NO_CONNECTION)
+                attempt.finish(Outcome.NO_CONNECTION)
             pool.strand()
             self.sweep_pool(pool)
         else:
@@ -367,19 +367,19 @@
             pool.connections.add(connection)
             pool.park(connection)
 
-    def understood(self, reply: resp.Reply) -> tuple[Ending, memoryview | None, Sequence[float] | None]:
+    def understood(self, reply: resp.Reply) -> tuple[Outcome, memoryview | None, Sequence[float] | None]:
         """What a node's answer means; Broken if it can't be read."""
         words = reply.words
         if reply.mark == "*" and len(words) == 3 and words[0] is not None and words[1] is None:
-            return Ending.SATISFIED, words[0], self.report(words[2])
+            return Outcome.SUCCESS, words[0], self.report(words[2])
         if reply.mark == "-" and words[0] is not None:
             text = bytes(words[0])
             match text.split(b" ")[0]:
                 case b"BUSY" | b"SYNTAX":  # neither has run it
-                    return Ending.TURNED_AWAY, None, None
+                    return Outcome.REJECTED, None, None
                 case b"ERR":
-                    return Ending.ERROR, None, self.report(text.rpartition(b" ")[2])
-        raise resp.Broken("no answer to an attempt looks so")
+                    return Outcome.ERROR, None, self.report(text.rpartition(b" ")[2])
+        raise resp.ProtocolError("no answer to an attempt looks so")
 
     def report(self, text: bytes | memoryview | None) -> Sequence[float] | None:
         """A load report in the order of the settings; a broken one is none."""
--- a/gatebank/recording/packet_writer.py
+++ b/gatebank/recording/packet_writer.py
@@ -96,7 +96,7 @@
                 parts += [self.hiding.command([bytes(word) for word in words]) for words in inbox.commands()]
             else:
                 parts += map(self.hiding.reply, inbox.replies())
-        except resp.Broken:
+        except resp.ProtocolError:
             self.lost = True
         self.rest = b"" if self.lost else bytes(inbox.data[inbox.start :])
         return b"".join(parts)
--- a/gatebank/replay/entries.py
+++ b/gatebank/replay/entries.py
@@ -49,9 +49,7 @@
 
 
 def pack(number: int, entry: Entry) -> bytes:
-    first = ENTRY.pack(
-        MARK, entry.kind, ENDINGS.index(entry.ending), number, entry.at, entry.name, 0, END
-    )
+    first = ENTRY.pack(MARK, entry.kind, ENDINGS.index(entry.ending), number, entry.at, entry.name, 0, END)
     return first[:40] + crc32(first[:40]).to_bytes(4, "little") + first[44:]
 
 
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -10,14 +10,14 @@
 import contextlib
 from collections.abc import Collection
 
-from gatebank.interface import RollEntry
-from gatebank.proxy.configuration import Posting
-from gatebank.proxy.discovery import Register
-from gatebank.proxy.dispatcher import Clock, Exchange, Held
-from gatebank.proxy.downstream import Asked, Senseless
+from gatebank.events import Endpoint
+from gatebank.proxy.configuration import Configuration
+from gatebank.proxy.discovery import EndpointRegistry
+from gatebank.proxy.dispatcher import Clock, Dispatcher, RequestInFlight
+from gatebank.proxy.downstream import ClientRequest, CommandError
 from gatebank.proxy.log import say
-from gatebank.proxy.release_service import Desk
-from gatebank.proxy.service import ALSO, Following, at_start, kept
+from gatebank.proxy.release_service import ReleaseService
+from gatebank.proxy.service import ALSO, ControlPlaneWatches, at_start, kept
 from gatebank.proxy.upstream import Nodes
 from gatebank.replay.guard import written
 from gatebank.replay.player import Play, Player
@@ -32,7 +32,7 @@
 
     def __init__(self, front: Inside, play: Play) -> None:
         self.front, self.play = front, play
-        self.held: Held | None = None
+        self.held: RequestInFlight | None = None
 
     def satisfied(self, value: memoryview) -> None:
         self.front.answered(self.play, "satisfied")
@@ -44,14 +44,14 @@
         self.front.answered(self.play, "broken_off")
 
 
-class Rehearsing(Exchange):
+class Rehearsing(Dispatcher):
     """The exchange, but for nodes in service: these it never hears of."""
 
     live: Collection[str] = ()
     left_out = 0
 
-    def rolled(self, entries: list[RollEntry], whole: bool) -> None:
-        def serves(entry: RollEntry) -> bool:
+    def rolled(self, entries: list[Endpoint], whole: bool) -> None:
+        def serves(entry: Endpoint) -> bool:
             return written(self.register.addresses[entry.node]) in self.live
 
         fit = [entry for entry in entries if not serves(entry)]
@@ -64,11 +64,11 @@
 class Inside:
     """The front: owns the marshal's parts, and gives them back in `close`."""
 
-    def __init__(self, player: Player, posting: Posting, live: Collection[str]) -> None:
+    def __init__(self, player: Player, posting: Configuration, live: Collection[str]) -> None:
         self.player = player
         self.places: dict[Play, Place] = {}  # each goes with its answer
-        orders, clock = dict(posting.standing_orders), Clock()
-        register = Register(orders)
+        orders, clock = dict(posting.settings), Clock()
+        register = EndpointRegistry(orders)
         self.exchange = exchange = Rehearsing(orders, posting.seed, clock, register, posting.bounds.commands)
         exchange.live = live
         self.nodes = exchange.nodes = Nodes(orders, (posting.descriptors - ALSO) // 2, posting.bounds.buffers)
@@ -76,12 +76,12 @@
         self.customers = {c.get("name", str(i)): i for i, c in enumerate(orders["customers"])}
         kinds = {name: index for name, (index, _) in self.workloads.items()}
         patience = orders.get("vote_timeout", 2.0)
-        self.desk = exchange.desk = Desk(
+        self.desk = exchange.desk = ReleaseService(
             posting.desk, register, patience, clock, exchange.told, exchange.complained, kinds
         )
         known, version, news = at_start(posting, register)
         exchange.start(known, news)
-        self.following = Following(exchange, register, self.desk)
+        self.following = ControlPlaneWatches(exchange, register, self.desk)
         self.following.move(posting, version)
         self.sweeper = asyncio.ensure_future(kept("sweep", self.sweep))
 
@@ -101,8 +101,8 @@
     def send(self, play: Play) -> None:
         place = Place(self, play)
         try:
-            asked = Asked([memoryview(word) for word in play.words], self.workloads, self.customers)
-        except Senseless as trouble:
+            asked = ClientRequest([memoryview(word) for word in play.words], self.workloads, self.customers)
+        except CommandError as trouble:
             self.player.report.counts["senseless"] += 1
             say("senseless", why=trouble)
             self.player.ended(play, "never_sent")
@@ -110,7 +110,7 @@
         self.places[play] = place
         try:
             self.exchange.invoked(asked, place)  # type: ignore[arg-type]
-        except Senseless:  # the id is in hand, which ours never are
+        except CommandError:  # the id is in hand, which ours never are
             self.places.pop(play, None)
             self.player.ended(play, "never_sent")
 
--- a/gatebank/replay/schedule.py
+++ b/gatebank/replay/schedule.py
@@ -30,9 +30,7 @@
         self.serial += 1
         heapq.heappush(self.heap, (exchange.asked_at, self.serial, exchange))
         self.held += size(exchange)
-        while self.heap and (
-            self.heap[0][0] <= self.newest - self.horizon or self.held > self.most
-        ):
+        while self.heap and (self.heap[0][0] <= self.newest - self.horizon or self.held > self.most):
             self.early += self.heap[0][0] > self.newest - self.horizon
             yield self.pop()
 
--- a/gatebank/replay/section.py
+++ b/gatebank/replay/section.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gatebank.operator_config.sections import Section
-from gatebank.proxy.configuration import Unfit, address
+from gatebank.proxy.configuration import ConfigurationError, address
 
 
 class Target(Section, kw_only=True, frozen=True):
@@ -30,7 +30,7 @@
     def check(self) -> Iterator[tuple[str, str]]:
         try:
             address(self.address, "address")
-        except Unfit as trouble:
+        except ConfigurationError as trouble:
             yield "address", str(trouble).rpartition(": ")[2]
         if self.keeps_tickets and not self.rehearsal:
             yield "keeps_tickets", "only a rehearsal target gets ticketed invocations: rehearsal is not set"
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -88,10 +88,10 @@
                 inbox.filled(size)
                 for reply in inbox.replies():
                     if not self.plays:
-                        raise resp.Broken("an answer to nothing")
+                        raise resp.ProtocolError("an answer to nothing")
                     play = self.plays.popleft()
                     self.owner.player.ended(play, *understood(reply))
-        except (OSError, TimeoutError, resp.Broken):
+        except (OSError, TimeoutError, resp.ProtocolError):
             pass
         finally:
             self.close()
--- a/gatebank/settings.py
+++ b/gatebank/settings.py
@@ -8,10 +8,14 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from gatebank.interface import Repeats
+from gatebank.events import RetrySafety
 
 AS_IS, SECONDS = 1, 0.001
-REPEATS = {"free": Repeats.RERUNNABLE, "guarded": Repeats.TICKETED, "single_shot": Repeats.EXCLUSIVE}
+REPEATS = {
+    "free": RetrySafety.IDEMPOTENT,
+    "guarded": RetrySafety.KEYED,
+    "single_shot": RetrySafety.NON_IDEMPOTENT,
+}
 
 ORDERS = (
     ("me", "me", AS_IS),
@@ -97,7 +101,7 @@
     return found
 
 
-def standing_orders(given: Mapping[str, Any]) -> dict[str, Any]:
+def read_settings(given: Mapping[str, Any]) -> dict[str, Any]:
     """The plain map of names to values that the brain picks from."""
     orders = _renamed(given, ORDERS)
     orders["workloads"] = [
--- a/gatebank/state.py
+++ b/gatebank/state.py
@@ -8,7 +8,38 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gatebank.interface import NEVER_RAN, Ended, Ending, Invocation, RollEntry, StandingOrders, Wish
+from gatebank.events import NEVER_RAN, AttemptResult, Endpoint, Outcome, Request, Settings
+
+
+@dataclass(slots=True, frozen=True)
+class Shot:
+    """Send a shot; give it up at ``until`` (None: when the client does); wake me after ``patience``."""
+
+    node: int
+    until: float | None = None
+    patience: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Wait:
+    """Nothing new; wake me after ``patience`` or at the next ending."""
+
+    patience: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Rejected:
+    """Final answer: trying again is harmless, best after ``back_in``."""
+
+    back_in: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class BrokenOff:
+    """Final answer that promises nothing."""
+
+
+Wish = Shot | Wait | Rejected | BrokenOff
 
 
 def learned(was: tuple[float, int], value: float, least: float) -> tuple[float, int]:
@@ -30,7 +61,7 @@
 class Node:
     """What this marshal knows of one node; dropped when the roll drops it."""
 
-    entry: RollEntry
+    entry: Endpoint
     held: int = 0  # own shots out
     silent_since: float = 0.0  # since when none of them has ended
     told_at: float = 0.0  # when one last ended
@@ -47,16 +78,18 @@
 
 
 @dataclass(slots=True, eq=False)
-class Task:
+class RequestState:
     """An invocation in hand; dropped with its final answer."""
 
-    invocation: Invocation
-    orders: StandingOrders  # those of its workload
+    invocation: Request
+    orders: Settings  # those of its workload
     came: float
     shots: list[tuple[Node, float]] = field(default_factory=list)
-    endings: list[Ending | None] = field(default_factory=list)  # None while it is out
-    doubts: list[tuple[Node, int, int, Ended]] = field(default_factory=list)  # errors, perhaps its own fault
-    story: Generator[Wish, Ended | None, None] = field(init=False)  # `serve`, set as it begins
+    endings: list[Outcome | None] = field(default_factory=list)  # None while it is out
+    doubts: list[tuple[Node, int, int, AttemptResult]] = field(
+        default_factory=list
+    )  # errors, perhaps its own fault
+    story: Generator[Wish, AttemptResult | None, None] = field(init=False)  # `serve`, set as it begins
     wake: int = 0  # which wake it waits for
 
     def deadline(self) -> float:
--- a/gatebank/state_transfer/balancer_state.py
+++ b/gatebank/state_transfer/balancer_state.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gatebank.balancer import Marshal, Trial
-from gatebank.interface import Condition, Heard, Lore, NodeLore, Phase, StageNews
-from gatebank.peer_messages import Totals
+from gatebank.balancer import Balancer, SequentialTest
+from gatebank.events import Condition, InheritedEndpoint, InheritedState, Phase, ReleaseStatus, ReplyStatus
+from gatebank.peer_messages import InstanceReport
 from gatebank.state import Node
 from gatebank.state_transfer.items import (
     Cold,
@@ -32,7 +32,12 @@
 MOST_ROWS = 4096  # of single shots and invocations in one telling: a window of 2 s at 2,000 a second
 SLICE = 256  # nodes told of in one turn: about a millisecond
 OWN = 5  # endings of a node behind which hearsay on it is no longer told on
-RATIOS = {0: "broke", Trial.LATE: "late", Trial.EVERYWHERE: "everywhere", Trial.CUT: "cut"}
+RATIOS = {
+    0: "broke",
+    SequentialTest.LATE: "late",
+    SequentialTest.EVERYWHERE: "everywhere",
+    SequentialTest.CUT: "cut",
+}
 
 
 class Names:
@@ -47,7 +52,7 @@
         return str(self.kinds[index]) if 0 <= index < len(self.kinds) else f"#{index}"
 
     def ratio(self, index: int) -> str:
-        return RATIOS.get(index) or f"errors:{self.workloads[index - Trial.FIRST]}"
+        return RATIOS.get(index) or f"errors:{self.workloads[index - SequentialTest.FIRST]}"
 
 
 @dataclass
@@ -79,7 +84,7 @@
 
 
 def told(
-    marshal: Marshal,
+    marshal: Balancer,
     names: Names,
     name: str,
     now: float,
@@ -118,7 +123,7 @@
         yield rest[at : at + SLICE]
 
 
-def word(marshal: Marshal, mine: Mapping[str, Any]) -> Iterator[Known]:
+def word(marshal: Balancer, mine: Mapping[str, Any]) -> Iterator[Known]:
     news = marshal.news
     if news and None not in (news.build, news.stage, news.phase):
         cap = None if news.cap is None else min(1.0, max(0.0, news.cap))
@@ -126,7 +131,7 @@
         yield News(**mine, age=max(0.0, news.age), seen=1, cap=cap, **place)
 
 
-def cold(marshal: Marshal, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
+def cold(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
     """What this marshal sends nodes that have just started: its shots out over the time that they take."""
     limit, sent = marshal.orders["warm_up"] + 1.0, dict[tuple[str, int, float], int]()
     for node, _, _ in marshal.out.values():
@@ -156,7 +161,7 @@
     )
 
 
-def usual(marshal: Marshal, names: Names, mine: Mapping[str, Any]) -> Iterator[Known]:
+def usual(marshal: Balancer, names: Names, mine: Mapping[str, Any]) -> Iterator[Known]:
     """What the earlier build does: its failures, and its times."""
     for index, (bad, many, lately) in enumerate(marshal.past):
         if many:
@@ -170,7 +175,7 @@
         yield Times(**mine, age=0.0, seen=many, **row)
 
 
-def window(marshal: Marshal, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
+def window(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
     """Single shots at each build, and invocations taken, of the last exposure window."""
     since = now - marshal.orders["exposure_window"]
     shots = [(at, w, build) for build, rows in marshal.sent_to.items() for at, w in rows if at >= since]
@@ -180,7 +185,7 @@
         yield Took(**mine, age=max(0.0, now - at), seen=1, workload=names.workloads[w])
 
 
-def sums(marshal: Marshal, mine: Mapping[str, Any]) -> list[Known]:
+def sums(marshal: Balancer, mine: Mapping[str, Any]) -> list[Known]:
     """The design's sums of the trial at hand: this marshal's own, and what it heard of others' lives."""
     trial = marshal.trial
     if trial is None:
@@ -200,7 +205,7 @@
     """Beliefs in the front's indices."""
 
     def __init__(
-        self, marshal: Marshal, names: Names, name: str, lives: HalfLives, life: int | None = None
+        self, marshal: Balancer, names: Names, name: str, lives: HalfLives, life: int | None = None
     ) -> None:
         self.marshal, self.names, self.name, self.lives = marshal, names, name, lives
         self.life = marshal.life if life is None else life
@@ -224,7 +229,7 @@
         found.window_known = self.window_known
         return found
 
-    def lore(self, belief: Belief, now: float) -> Lore:
+    def lore(self, belief: Belief, now: float) -> InheritedState:
         """A belief as the brain's door takes it; names that this marshal does not know are left out."""
         marshal, names = self.marshal, self.names
         index = {name: number for number in marshal.nodes if (name := names.nodes[number]) is not None}
@@ -243,12 +248,14 @@
         for item in belief.sums:
             if item.marshal < marshal.orders["marshals"]:
                 fit = {r: row for r, row in item.ratios.items() if 0 <= r < len(marshal.past)}
-                heard.append((item.marshal, Totals(item.life, item.build, item.stage, 0.0, 0.0, {}, fit)))
+                heard.append(
+                    (item.marshal, InstanceReport(item.life, item.build, item.stage, 0.0, 0.0, {}, fit))
+                )
         span = marshal.orders["exposure_window"]
         since = now - marshal.began  # rows of a former life lie before this one began
-        return Lore(
+        return InheritedState(
             nodes={
-                index[name]: NodeLore(each.slow, each.faults, each.aside, each.hold, each.cold_rate)
+                index[name]: InheritedEndpoint(each.slow, each.faults, each.aside, each.hold, each.cold_rate)
                 for name, each in belief.nodes.items()
                 if name in index
             },
@@ -270,7 +277,7 @@
         )
 
 
-def as_news(told: News, age: float = 0.0) -> StageNews:
+def as_news(told: News, age: float = 0.0) -> ReleaseStatus:
     phase = Phase(told.phase)
-    cap = 0.0 if phase in (Phase.GOING_BACK, Phase.WITHDRAWN) else told.cap
-    return StageNews(Heard.COUNTED, False, told.build, told.stage, phase, cap, told.age + age)
+    cap = 0.0 if phase in (Phase.ROLLING_BACK, Phase.ROLLED_BACK) else told.cap
+    return ReleaseStatus(ReplyStatus.ACCEPTED, False, told.build, told.stage, phase, cap, told.age + age)
--- a/gatebank/state_transfer/section.py
+++ b/gatebank/state_transfer/section.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from gatebank.operator_config.sections import Section
-from gatebank.proxy.configuration import Unfit, address
+from gatebank.proxy.configuration import ConfigurationError, address
 
 Positive = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 
@@ -54,7 +54,7 @@
             for each in told:
                 try:
                     host, _ = address(each, name)
-                except Unfit as trouble:
+                except ConfigurationError as trouble:
                     yield name, str(trouble).rpartition(": ")[2]
                     continue
                 if self.plain and not ip_address(host).is_loopback:
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -21,8 +21,8 @@
 
 from gatebank.keys.sealed import Sealed
 from gatebank.keys.section import KeysFolder
-from gatebank.proxy.configuration import Address, Unfit, address
-from gatebank.proxy.dispatcher import Exchange
+from gatebank.proxy.configuration import Address, ConfigurationError, address
+from gatebank.proxy.dispatcher import Dispatcher
 from gatebank.proxy.log import say
 from gatebank.proxy.sockets import opened
 from gatebank.state_transfer import protocol, snapshot
@@ -109,7 +109,7 @@
 
 class Learning:
     def __init__(
-        self, orders: LearningOrders, keys: KeysFolder | None, folder: Path, exchange: Exchange, name: str
+        self, orders: LearningOrders, keys: KeysFolder | None, folder: Path, exchange: Dispatcher, name: str
     ) -> None:
         self.orders, self.exchange, self.name = orders, exchange, name
         self.loop, self.clock = asyncio.get_running_loop(), exchange.clock
@@ -127,13 +127,15 @@
         self.keys: Changing | None = None
         if not orders.plain and (orders.listen or orders.donors):
             if keys is None:
-                raise Unfit("learning: a section keys(...) is needed, or plain = True on loopback")
+                raise ConfigurationError(
+                    "learning: a section keys(...) is needed, or plain = True on loopback"
+                )
             from gatebank.keys.folder import BadKeys, Changing  # 10 MB that a plain link does without
 
             try:
                 self.keys = Changing(folder / keys.folder)
             except BadKeys as trouble:
-                raise Unfit(f"keys: {trouble}") from trouble
+                raise ConfigurationError(f"keys: {trouble}") from trouble
         self.watch = keys.watch if keys else 5.0
         seed = self.marshal.life
         self.asking = Asking(name, self.others(), orders.patience, orders.attempts, seed)
@@ -162,7 +164,9 @@
         try:
             self.listener.bind(where)
         except OSError as trouble:
-            raise Unfit(f"learning: listen {self.orders.listen}: {trouble.strerror}") from trouble
+            raise ConfigurationError(
+                f"learning: listen {self.orders.listen}: {trouble.strerror}"
+            ) from trouble
         self.listener.listen(BACKLOG)
 
     async def begin(self) -> None:
@@ -219,7 +223,7 @@
         if self.given:
             lore = replace(lore, sent=(), taken=(), window_known=False)
         self.given = self.given or lore.window_known
-        self.exchange.turn(self.marshal.take_up, lore)
+        self.exchange.turn(self.marshal.apply_inherited_state, lore)
         news = self.marshal.news
         own = None
         if news and news.build is not None and news.phase is not None:
--- a/gatebank/statistics/endpoint_groups.py
+++ b/gatebank/statistics/endpoint_groups.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import Any, NamedTuple
 
-from gatebank.statistics.order_statistics import Ranks
+from gatebank.statistics.order_statistics import OrderStatistics
 
 MOST_SETS = 64  # of builds asked for between two changes: a fleet has a few builds, all pairs of eight are 28
 
@@ -23,7 +23,7 @@
     fit: list[Any]
 
 
-class Groups:
+class EndpointGroups:
     """``nodes`` have ``entry.build`` and ``aside``, which `changed` must be told of."""
 
     def __init__(self, nodes: Sequence[Any]) -> None:
@@ -34,7 +34,7 @@
         self.members: set[int] | None = None
         self.sets: dict[tuple[bool, frozenset[int]], Some] = {}  # emptied by `changed`
         self.warmth: dict[int, Warmth] = {}  # likewise, by which list
-        self.middles: dict[tuple[str, object], tuple[Ranks, Callable[[Any], bool]]] = {}  # likewise
+        self.middles: dict[tuple[str, object], tuple[OrderStatistics, Callable[[Any], bool]]] = {}  # likewise
         self.aside: int | None = None
 
     def changed(self) -> None:
@@ -90,15 +90,15 @@
             found = self.warmth[id(nodes)] = Warmth(nodes)
         return found
 
-    def middle(
+    def median(
         self, of: str, name: object, fits: Callable[[Any], bool], value: Callable[[Any], float], empty: float
     ) -> float:
         """The median of a value over the nodes that fit, kept until `changed`; `moved` tells what changes."""
         found = self.middles.get((of, name))
         if found is None:
-            ranks = Ranks(value(node) for node in self.nodes if fits(node))
+            ranks = OrderStatistics(value(node) for node in self.nodes if fits(node))
             found = self.middles[of, name] = ranks, fits
-        return found[0].middle(empty)
+        return found[0].median(empty)
 
     def moved(self, of: str, node: Any, was: float | None, now: float) -> None:
         """That value of a node was another, or (None) did not count so far; the node fits as it is now."""
@@ -129,7 +129,7 @@
         return (warm * present(self.warm[0]) if warm else 0.0) + sum(map(present, self.cold))
 
 
-class Silent:
+class OutstandingAttempts:
     """Nodes with shots out, the one from which nothing came for longest first, and what they hold by
     workload."""
 
--- a/gatebank/statistics/order_statistics.py
+++ b/gatebank/statistics/order_statistics.py
@@ -10,13 +10,13 @@
 from collections.abc import Iterable
 
 
-class Ranks:
+class OrderStatistics:
     """
-    >>> ranks = Ranks([3.0, 1.0, 2.0])
-    >>> ranks.middle(9.0), Ranks([]).middle(9.0)
+    >>> ranks = OrderStatistics([3.0, 1.0, 2.0])
+    >>> ranks.median(9.0), OrderStatistics([]).median(9.0)
     (2.0, 9.0)
     >>> ranks.change(1.0, 5.0)
-    >>> ranks.middle(9.0)
+    >>> ranks.median(9.0)
     3.0
     """
 
@@ -36,7 +36,7 @@
     def add(self, value: float) -> None:
         insort(self.values, value)
 
-    def middle(self, empty: float) -> float:
+    def median(self, empty: float) -> float:
         """The median, of an even number the higher of the two in the middle (statistics.median_high)."""
         return self.values[len(self.values) // 2] if self.values else empty
 
--- a/gatebank/statistics/sliding_window.py
+++ b/gatebank/statistics/sliding_window.py
@@ -11,9 +11,9 @@
 from collections.abc import Hashable, Iterable, Iterator
 
 
-class Window:
+class SlidingWindow:
     """
-    >>> window = Window()
+    >>> window = SlidingWindow()
     >>> for at, kind in ((1.0, "a"), (2.0, "b"), (2.0, "a")):
     ...     window.add(at, kind)
     >>> window.count("a"), len(window)
@@ -39,7 +39,7 @@
     def again(self, at: float, kind: Hashable, now: float) -> None:
         """The row of that time counts as one of now. It is looked for: for what happens seldom.
 
-        >>> window = Window()
+        >>> window = SlidingWindow()
         >>> window.add(1.0, "a"), window.again(1.0, "a", 2.0), window.forget(1.5), window.count("a")
         (None, None, None, 1)
         """
