--- a/tests/learning.py
+++ b/tests/learning.py
@@ -50,7 +50,7 @@
 from gatebank.state_transfer.source import Teaching, TeachingBounds
 from gatebank.state_transfer.weighting import HalfLives, believe
 from tests.sockets import PATIENCE, ROOT, Stand
-from tests.sockets import Balancer as Process
+from tests.sockets import InstanceProcess as Process
 
 START, LIVES = 1000.0, HalfLives()
 NODES = {"a": ("a", 41, None), "b": ("b", 41, None), "new": ("new", 42, START - 1.0)}
