--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -19,6 +19,7 @@
 from gatebank import actions, events
 from gatebank import balancer as today
 from tests.learning import ORDERS
+from tests.settings_factory import make_settings
 
 WARM, MEASURED, ROUNDS, MOST = 2.5, 2.0, 3, 6_000
 SIZES = ((100, 4), (1_000, 4), (4_000, 4), (100, 500), (100, 5_000), (4_000, 5_000))
@@ -26,7 +27,7 @@
 
 def cost(brain: ModuleType, rate: float, nodes: int, trial: bool) -> float:
     """us of processor time an invocation."""
-    marshal = brain.Balancer(ORDERS, 1, 100.0)
+    marshal = brain.Balancer(make_settings(ORDERS), 1, 100.0)
     new = max(1, nodes // 4) if trial else 0
     rows = [
         events.Endpoint(n, n, 0, 0, 0, 42 if n < new else 41, None, events.Condition.READY, 1.0)
--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -80,7 +80,7 @@
         service.at_start(found, discovery.EndpointRegistry(found.settings))
     except ConfigurationError as trouble:
         refuse(trouble)
-    workloads = ", ".join(each["name"] for each in found.settings["workloads"])
+    workloads = ", ".join(str(each.name) for each in found.settings.request_classes)
     print(f"{found.name}: listens on {found.listen[0]}:{found.listen[1]}; workloads {workloads}")
     if extra:
         print(f"{orders}: {', '.join(each.section for each, _ in extra.sections) or 'no sections'}")
--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -14,7 +14,8 @@
 
 from gatebank.statistics.endpoint_groups import EndpointGroups, OutstandingAttempts, Some
 from gatebank.statistics.sliding_window import SlidingWindow
-from gatebank.events import AttemptResult, Condition, Endpoint, InheritedState, NEVER_RAN, Outcome, Phase, Plain, ReleaseStatus, ReplyStatus, Request, RetrySafety, Settings, Verdict, Word
+from gatebank.events import AttemptResult, Condition, Endpoint, InheritedState, NEVER_RAN, Outcome, Phase, Plain, ReleaseStatus, ReplyStatus, Request, RetrySafety, Verdict, Word
+from gatebank.settings import Settings
 from gatebank.actions import Action, CancelAttempt, CastVote, CheckHealth, FailRequest, LogMessage, RejectRequest, SendToPeer, StartAttempt, StartTimer, WatchEndpoints
 from gatebank.state import BrokenOff, Rejected, Shot, Wait, Wish
 from gatebank.peer_messages import COLD, EARLIER, ON_TRIAL, FleetReport, LlrDelta, InstanceReport, short, together
@@ -103,13 +104,13 @@
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         chance = Random(seed)
         self.sample, self.random = chance.sample, chance.random
-        self.orders, self.workloads, told = settings, settings["workloads"], settings.get
+        self.settings, self.workloads, release = settings, settings.request_classes, settings.release
         # What is sent as it starts is not timed: its clock may stand until it has caught up with that start.
         self.present_time, self.woke_at, self.began = now, now + BEAT, now
-        self.me, marshals, self.life = self.orders["me"], self.orders["marshals"], chance.getrandbits(16)
+        self.me, marshals, self.life = settings.instance, settings.instance_count, chance.getrandbits(16)
         self.fusers = range(min(3, marshals))  # the design's three; where votes need more, others follow them
-        self.needed = {Verdict.PROMOTE: told("on_votes", 1), Verdict.ROLL_BACK: told("back_votes", 1)}
-        self.actions: list[Action] = [WatchEndpoints()] * (told("roll_mode") == "ask") + [StartTimer(now + BEAT, "beat")]
+        self.needed = {Verdict.PROMOTE: release.promote_votes, Verdict.ROLL_BACK: release.rollback_votes}
+        self.actions: list[Action] = [WatchEndpoints()] * settings.polls_endpoints + [StartTimer(now + BEAT, "beat")]
         self.nodes: dict[int, Node] = {}  # as the roll has them
         self.ready: list[Node] = []  # those that may be sent to
         self.tasks: dict[int, RequestState] = {}
@@ -140,7 +141,7 @@
         self.cast: tuple[SequentialTest | None, Verdict] = (None, Verdict.NONE)
         self.leaning, self.leaning_since, self.fuser_heard = Verdict.NONE, now, now
         self.cast_again, self.voted, self.serial = now, now, count(1)
-        self.call = 1 / max(1, told("votes_per_second", 1e9))  # s that a vote takes the desk
+        self.call = 1 / max(1, release.votes_per_second)  # s that a vote takes the desk
         self.strict_until, self.told_sums = now, list[tuple[int, InstanceReport]]()  # both set by `take_up` alone
 
     @property
@@ -185,13 +186,13 @@
             node = self.choose(task) if may_send else None
             if node:
                 yield Shot(node.entry.node)
-            elif may_send and self.now < task.came + task.orders["target_time"]:
+            elif may_send and self.now < task.came + task.request_class.latency_objective:
                 yield Wait(0.1)  # none may take it now: the roll or a cold one's budget may mend it
             else:
                 # Rule 2: rejected only where running again does no harm: not past a ticket's window.
-                ran, anywhere = task.may_have_run(), task.orders["group"] == "all"
-                anywhere = anywhere or task.orders["repeats"] is RetrySafety.IDEMPOTENT
-                rejected = Rejected(0.5 if self.orders["may_say_back_in"] else None)
+                ran, anywhere = task.may_have_run(), task.request_class.retry_group == "all"
+                anywhere = anywhere or task.request_class.retry_safety is RetrySafety.IDEMPOTENT
+                rejected = Rejected(0.5 if self.settings.limits.may_advise_retry_after else None)
                 yield rejected if not ran or (anywhere and self.may_run(task, ran)) else BrokenOff()
                 return
 
@@ -201,7 +202,7 @@
         answers come in bursts: so two a node go."""
         workload, fleet = task.invocation.workload, self.fleet
         done = (len(self.done) - (self.done.count(*self.stuck) if self.stuck else 0)) / 2.0
-        held = (out := self.shots_out()) * self.orders["marshals"]
+        held = (out := self.shots_out()) * self.settings.instance_count
         if fleet:  # own answers against ten of the fleet's: where traffic is thin, those decide
             if workload in self.stuck:  # a few go on, to see when it ends
                 return self.random() > 0.1
@@ -210,23 +211,23 @@
             out, done = out + 5 * fleet.out / answers, done + 5
         if self.now < self.began + 2.0 or held < 2 * len(self.ready):
             return False
-        by_work = float(self.orders.get("payoff_by") == "work")
-        pays = [o["payoff"] / (by_work or p[0] or 1) for o, p in zip(self.workloads, self.pace, strict=True)]
-        bound = done * min(o["target_time"] for o in self.workloads) * 0.6 * (1 + pays[workload] / max(pays))
-        if self.orders["customers"] and out > 0.7 * bound:  # first what a customer sends beyond its share
+        by_work = float(self.settings.weighs_by_work)
+        pays = [o.priority_weight / (by_work or p[0] or 1) for o, p in zip(self.workloads, self.pace, strict=True)]
+        bound = done * min(o.latency_objective for o in self.workloads) * 0.6 * (1 + pays[workload] / max(pays))
+        if self.settings.tenants and out > 0.7 * bound:  # first what a customer sends beyond its share
             mine = self.arrived.count(task.invocation.customer)
-            share = self.orders["customers"][task.invocation.customer]["share"]
+            share = self.settings.tenants[task.invocation.customer].share
             over = self.random() * mine > 1.2 * share / max(0.01, 1 - share) * (len(self.arrived) - mine)
             bound *= 0.7 if over else 1.0
         return out > bound
 
     def may_send(self, task: RequestState) -> bool:  # Rule 2, and the number of shots
-        may = len(task.shots) < self.orders["most_shots"] and self.now < task.deadline() - 0.01
+        may = len(task.shots) < self.settings.limits.max_attempts and self.now < task.deadline() - 0.01
         return may and self.may_run(task, task.may_have_run())
 
     def may_run(self, task: RequestState, ran: Sequence[tuple[Node, float]]) -> bool:  # Rule 2: behind these
-        how, since = task.orders["repeats"], ran[0][1] if ran else 0.0  # only ticketed ones have a window
-        kept = how is RetrySafety.KEYED and self.now < since + task.orders["window"] - 0.05
+        how, since = task.request_class.retry_safety, ran[0][1] if ran else 0.0  # only ticketed ones have a window
+        kept = how is RetrySafety.KEYED and self.now < since + task.request_class.retry_window - 0.05
         return not ran or how is RetrySafety.IDEMPOTENT or kept
 
     def still(self, number: int, shot: int) -> bool:
@@ -259,7 +260,7 @@
 
     def close(self, task: RequestState) -> None:  # it has its final answer: what is still out is no use
         self.tasks.pop(number := task.invocation.number, None)
-        if self.orders["may_withdraw"]:
+        if self.settings.limits.may_cancel:
             self.actions += [CancelAttempt(number, shot) for shot, end in enumerate(task.endings) if end is None]
 
     def on_timer(self, name: str) -> None:
@@ -284,14 +285,14 @@
             # An error is its node's and build's where another shot is satisfied: what fails anywhere
             # is nobody's. An exclusive one has no other and counts. Harmful where hardly any node can serve.
             blamed, doubts = [(*sent, ended)], task.doubts if task else []
-            if task and ended.ending is Outcome.ERROR and task.orders["repeats"] is not RetrySafety.NON_IDEMPOTENT:
+            if task and ended.ending is Outcome.ERROR and task.request_class.retry_safety is not RetrySafety.NON_IDEMPOTENT:
                 task.doubts, blamed = doubts + blamed, []
             for each in blamed + (doubts if ended.ending is Outcome.SUCCESS else []):
                 self.charge(*each)
         if task:
             task.endings[ended.shot] = ended.ending
             key, newest = task.invocation.key, self.news.build if self.news else None
-            if ended.over and key is not None and self.orders.get("keys_stay") and sent and sent[1] == newest:
+            if ended.over and key is not None and self.settings.release.sticky_keys and sent and sent[1] == newest:
                 self.stayed[key] = sent[1]
             self.close(task) if ended.over else self.resume(task, ended)
 
@@ -301,28 +302,28 @@
         return build > self.news.build or (build == self.news.build and self.news.phase is not Phase.RELEASED)
 
     def cap_allows(self, task: RequestState, build: int, more: int = 1) -> bool:  # Rule 5: own count in its window
-        orders, news, w, how = self.orders, self.news, task.invocation.workload, task.orders["repeats"]
+        release, news, w, how = self.settings.release, self.news, task.invocation.workload, task.request_class.retry_safety
         told = news if news is not None and news.build == build else None
-        cap, stage = (told.cap, told.stage) if told else (orders["caps"][0], 0)
-        if not cap or (how is not RetrySafety.IDEMPOTENT and stage < orders.get("shielded_stages", 0)):
+        cap, stage = (told.cap, told.stage) if told else (release.caps[0], 0)
+        if not cap or (how is not RetrySafety.IDEMPOTENT and stage < release.shielded_stages):
             return False
-        all_count, after = orders["counted_by"] != "per_lane", self.now - orders["exposure_window"]
+        all_count, after = not release.counts_by_class, self.now - release.exposure_window
         sent, kinds = self.sent_to.setdefault(build, SlidingWindow()), () if all_count else (w,)
         sent.forget(after)
         self.taken.forget(after, with_edge=True)
         shots, taken = sent.count(*kinds), self.taken.count(*kinds)
         # Where a former life's shots in this window are not known, it may have used all that was spare.
-        return shots + more <= (orders["spare_shots"] if self.now >= self.strict_until else 0) + cap * taken
+        return shots + more <= (release.spare_attempts if self.now >= self.strict_until else 0) + cap * taken
 
     def age(self, node: Node) -> float:
         return self.now - node.entry.started if node.entry.started else 1e9
 
     def warm(self, node: Node) -> bool:
-        return self.age(node) >= self.orders["warm_up"] + 1.0
+        return self.age(node) >= self.settings.slow_start.warm_up + 1.0
 
     def present(self, node: Node) -> float:  # Rule 4: the least part of its capacity that it can have by now
-        start = self.orders["start_capacity"]
-        return start + (1 - start) * max(0.0, min(1.0, self.age(node) / self.orders["warm_up"]))
+        start = self.settings.slow_start.initial_capacity
+        return start + (1 - start) * max(0.0, min(1.0, self.age(node) / self.settings.slow_start.warm_up))
 
     def cold_allows(self, node: Node) -> bool:
         """Rule 4, summed over all marshals: half of fall_multiple x its present part of this one's satisfied
@@ -330,10 +331,10 @@
         if self.warm(node):
             return True
         fair = min(self.rate, 0.6 * len(self.done)) / max(1, len(self.ready))
-        allowed = self.orders["fall_multiple"] * self.present(node) * fair  # shots a second
+        allowed = self.settings.slow_start.overload_multiple * self.present(node) * fair  # shots a second
         if self.now < node.others[1]:  # others send it more than this marshal's own traffic would tell
-            allowed = min(allowed, max(0.0, allowed * self.orders["marshals"] - 2 * node.others[0]))
-        first = min(1.0, self.random() + 0.4 * allowed * self.orders["fall_window"])
+            allowed = min(allowed, max(0.0, allowed * self.settings.instance_count - 2 * node.others[0]))
+        first = min(1.0, self.random() + 0.4 * allowed * self.settings.slow_start.overload_window)
         node.tokens += 0.5 * allowed * (self.now - node.tokens_at) if node.tokens_at else first
         node.tokens, node.tokens_at = min(1.5, node.tokens), self.now
         return node.tokens >= 1.0
@@ -345,7 +346,7 @@
         return self.silence(node) >= 3
 
     def load(self) -> float:  # first tries a second for each node that answers, of all marshals
-        rate = self.fleet.rate if self.fleet else self.rate * self.orders["marshals"]
+        rate = self.fleet.rate if self.fleet else self.rate * self.settings.instance_count
         mute = self.silent.silent(self.mute, lambda n: not n.aside and self.groups.has(n))
         return rate / max(1, self.groups.not_aside() - mute)
 
@@ -366,16 +367,17 @@
     def near(self, nodes: list[Node]) -> list[Node]:
         """Two of those near this marshal's place: as many as it meets twice while an idle connection lives,
         four at least. New connections cost nodes; even places, so that all together reach all nodes alike."""
-        size, idle = len(nodes), self.orders.get("connection_idle", 1e9)
+        size, limit = len(nodes), self.settings.limits.connection_idle_timeout
+        idle = 1e9 if limit is None else limit
         width = max(4.0, self.steady * idle / 4 * size / max(1, len(self.ready)))
-        if width >= size or self.orders["marshals"] * width < 4 * size:
+        if width >= size or self.settings.instance_count * width < 4 * size:
             return self.sample(nodes, min(2, size))
         first = int(self.me * 0.618034 % 1.0 * size)  # golden section: any run of numbers is spread
         return [nodes[(first + at) % size] for at in self.sample(range(int(width)), 2)]
 
     def choose(self, task: RequestState) -> Node | None:
-        key, ran, ready, group = task.invocation.key, task.may_have_run(), self.ready, task.orders["group"]
-        if ran and task.orders["repeats"] is RetrySafety.KEYED and group != "all":
+        key, ran, ready, group = task.invocation.key, task.may_have_run(), self.ready, task.request_class.retry_group
+        if ran and task.request_class.retry_safety is RetrySafety.KEYED and group != "all":
             of = attrgetter("zone" if group == "zone" else "cell")
             ready = [n for n in ready if of(n.entry) == of(ran[0][0].entry)]
         if key in self.stayed:
@@ -390,7 +392,7 @@
         if not old or not new or task.doubts or (self.news and self.news.phase is Phase.ROLLING_BACK):
             return old or new
         # A build on trial gets what its nodes can take, that times be like with like, however slow or faulty.
-        warm = self.orders["warm_up"]
+        warm = self.settings.slow_start.warm_up
         old_part, new_part = (groups.part(each, self.now, warm, self.present) for each in (older, newer))
         return new if self.random() * (new_part + old_part) < new_part else old
 
@@ -447,7 +449,7 @@
         # A cold node is late whatever it runs, and a marshal that stood still knows no times.
         warm = self.warm(node) and self.now - took >= self.woke_at
         timed = on_trial and warm and not (broke or cut or w in self.stuck)
-        met = trial is not None and trial.own[0][1] >= min(5, 25 / self.orders["marshals"])  # it gets traffic
+        met = trial is not None and trial.own[0][1] >= min(5, 25 / self.settings.instance_count)  # it gets traffic
         if trial and timed:
             b, median, slow = trial.build, self.groups.median, attrgetter("slow")
             mates = median("slow", ("at", b), lambda n: n.entry.build == b, slow, 1.0)
@@ -494,7 +496,7 @@
             self.tell(peer, word)
 
     def tell(self, peer: int | None, word: LlrDelta | InstanceReport | FleetReport | None) -> None:
-        if word and self.orders["may_tell"] and peer != self.me and self.orders["marshals"] > 1:
+        if word and self.settings.limits.may_message_peers and peer != self.me and self.settings.instance_count > 1:
             self.actions.append(SendToPeer(peer, word))
 
     def tell_totals(self) -> None:
@@ -522,10 +524,10 @@
         self.longest = max([pace for pace, _ in self.pace] + paces) or 1.0
         # Late by itself, another three times as quick: it waits for what no node mends, and shows no load.
         known, least = zip(self.workloads, paces, strict=False), 3 * min(filter(None, paces), default=0.0)
-        self.stuck = {w for w, (orders, pace) in enumerate(known) if pace > max(orders["target_time"], least)}
+        self.stuck = {w for w, (each, pace) in enumerate(known) if pace > max(each.latency_objective, least)}
 
     def on_peer_message(self, peer: int, word: LlrDelta | InstanceReport | FleetReport) -> None:
-        if not 0 <= peer < self.orders["marshals"]:
+        if not 0 <= peer < self.settings.instance_count:
             return
         self.fuser_heard = self.now if peer in self.fusers else self.fuser_heard
         if isinstance(word, FleetReport):
@@ -538,7 +540,7 @@
 
     def on_release_status(self, news: ReleaseStatus) -> None:
         if news.is_vote_reply:  # one that stands is renewed before it lapses
-            again = {ReplyStatus.ACCEPTED: self.orders["vote_life"] * 0.75, ReplyStatus.STALE: 1.5, ReplyStatus.TIMED_OUT: 0.5}
+            again = {ReplyStatus.ACCEPTED: self.settings.release.vote_lifetime * 0.75, ReplyStatus.STALE: 1.5, ReplyStatus.TIMED_OUT: 0.5}
             self.cast_again = self.now + again.get(news.reply, 0.4 + 0.4 * self.random())
         if news.reply is not ReplyStatus.ACCEPTED or news.build is None or news.stage is None:
             return
@@ -560,8 +562,8 @@
     def apply_inherited_state(self, lore: InheritedState) -> None:
         """What others saw before this marshal did (learning/), at its start or soon after. It overrules
         nothing that this marshal has seen itself, and allows nothing that it would not allow without."""
-        if self.now < self.began + self.orders["exposure_window"] and not lore.window_known:
-            self.strict_until = self.began + self.orders["exposure_window"]
+        if self.now < self.began + self.settings.release.exposure_window and not lore.window_known:
+            self.strict_until = self.began + self.settings.release.exposure_window
         elif lore.window_known:
             self.strict_until = self.began
             for build in {build for _, _, build in lore.sent}:
@@ -595,7 +597,7 @@
 
     def beat(self) -> None:  # what only time changes
         self.actions.append(StartTimer(self.now + BEAT, "beat"))
-        window = self.orders["exposure_window"]
+        window = self.settings.release.exposure_window
         for rows in (self.taken, *self.sent_to.values()):
             rows.forget(self.now - window - 0.1)
         self.sent_to = {build: rows for build, rows in self.sent_to.items() if rows}
@@ -607,7 +609,7 @@
         if self.now >= self.fleet_at + 5.0:  # forgotten
             self.fleet, self.usual, self.beside = None, {}, 0.0
         self.beats += 1
-        if self.beats % (4 * max(1, round(self.orders["marshals"] / 200))) == 0:
+        if self.beats % (4 * max(1, round(self.settings.instance_count / 200))) == 0:
             self.tell_totals()  # each second, the design's; less often where hundreds would speak
         self.decide()
 
@@ -620,7 +622,7 @@
         if not trial or not news or self.now < self.woke_at + BEAT or not (own or led):
             return
         mates = self.groups.builds.get(trial.build, ())
-        warm = self.groups.warm(mates, self.now, self.orders["warm_up"])
+        warm = self.groups.warm(mates, self.now, self.settings.slow_start.warm_up)
         verdict = trial.verdict(self.now, len(mates), warm) if own else Verdict(word.verdict)
         if verdict is not self.leaning:
             self.leaning, self.leaning_since = verdict, self.now
@@ -632,7 +634,7 @@
         if self.now < due or (verdict is Verdict.NONE and standing is not Verdict.PROMOTE):
             return
         self.cast, self.voted = (trial, verdict), self.now
-        self.cast_again = self.now + self.orders["vote_timeout"] + 0.2
+        self.cast_again = self.now + self.settings.release.vote_timeout + 0.2
         self.actions.append(CastVote(trial.build, news.stage or 0, verdict))
         sums = [round(total, 1) for total in trial.sums]
         self.actions.append(LogMessage(f"vote {verdict.log_name.upper()} build {trial.build} stage {news.stage} sums {sums}"))
--- a/gatebank/events.py
+++ b/gatebank/events.py
@@ -10,12 +10,9 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, IntEnum
-from typing import Any
 
 from gatebank.peer_messages import InstanceReport
 
-Settings = Mapping[str, Any]
-
 
 class RetrySafety(Enum):
     """May an invocation run again?"""
--- a/gatebank/proxy/configuration.py
+++ b/gatebank/proxy/configuration.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from gatebank.settings import read_settings
+from gatebank.settings import Settings, read_settings
 
 Address = tuple[str, int]
 MB = 1024 * 1024
@@ -58,7 +58,7 @@
     descriptors: int
     bounds: Bounds
     known: Mapping[str, Any] | None
-    settings: Mapping[str, Any]
+    settings: Settings
 
 
 def address(text: Any, what: str) -> Address:
@@ -109,17 +109,17 @@
 
 
 def parse_configuration(given: Mapping[str, Any]) -> Configuration:
-    settings, limits = given.get("settings"), given.get("limits") or {}
-    if not isinstance(settings, dict):
+    given_settings, limits = given.get("settings"), given.get("limits") or {}
+    if not isinstance(given_settings, dict):
         raise ConfigurationError("settings: missing or not an object")
     for key, least in (("me", 0), ("balancers", 1)):
-        if not isinstance(settings.get(key), int) or settings[key] < least:
+        if not isinstance(given_settings.get(key), int) or given_settings[key] < least:
             raise ConfigurationError(f"settings: {key} is no number of at least {least}")
     try:
-        orders = read_settings(settings)
+        settings = read_settings(given_settings)
     except (KeyError, TypeError, ValueError, AttributeError) as trouble:
         raise ConfigurationError(f"settings: {type(trouble).__name__} {trouble}") from trouble
-    if not orders["workloads"] or not all("name" in each for each in orders["workloads"]):
+    if not settings.request_classes or not all("name" in each for each in given_settings["classes"]):
         raise ConfigurationError("settings: a workload has no name, or there is none")
     desk, known = given.get("platform") or {}, given.get("known")
     peers = given.get("peers") or []
@@ -148,5 +148,5 @@
         descriptors=descriptors,
         bounds=Bounds.within(memory),
         known=known if isinstance(known, dict) else None,
-        settings=orders,
+        settings=settings,
     )
--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -20,6 +20,7 @@
 from gatebank.proxy.http import Caller, NoReplyError
 from gatebank.proxy.log import say
 from gatebank.proxy.sockets import Turn
+from gatebank.settings import Settings
 
 WAIT = 2.0  # s a watch may wait: an outage shows this soon; PROTOCOL allows 60
 LATE = 1.0  # s an answer may come after that wait before the connection is held dead
@@ -38,20 +39,20 @@
     """Small indices for nodes' names, and where each stands. Emptied by `keep` as nodes leave the roll; an
     index is used again only after many others, when nothing speaks of the old node any more.
 
-    >>> register = EndpointRegistry({})
+    >>> register = EndpointRegistry(Settings())
     >>> for name in range(2 * RESTS):
     ...     register.keep({register.node("stays"), register.node(str(name))})
     >>> len(register.names) <= RESTS + 3, register.node("stays"), len(register.index)
     (True, 0, 2)
     """
 
-    def __init__(self, orders: Mapping[str, Any]) -> None:
+    def __init__(self, settings: Settings) -> None:
         self.index: dict[str, int] = {}
         self.names: list[str] = []
         self.addresses: list[Address] = []
         self.free: deque[int] = deque()  # the longest free first
-        self.kinds = {name: i for i, name in enumerate(orders.get("kinds", ()))}
-        self.zones = {name: i for i, name in enumerate(orders.get("zones", ()))}
+        self.kinds = {name: i for i, name in enumerate(settings.kinds)}
+        self.zones = {name: i for i, name in enumerate(settings.zones)}
 
     def node(self, name: str) -> int:
         if name not in self.index:
@@ -113,9 +114,9 @@
     chance. After silence the first try comes soon: what broke may be this watch alone. Harmful where many are
     configured and few run: these then wait longer than they need, 6 s at most."""
 
-    def __init__(self, orders: Mapping[str, Any], chance: Random) -> None:
-        self.shared, self.chance = orders.get("roll_mode") == "ask", chance
-        self.least = min(MOST_PAUSE, max(PAUSE, orders.get("marshals", 1) / TRIES))
+    def __init__(self, settings: Settings, chance: Random) -> None:
+        self.shared, self.chance = settings.polls_endpoints, chance
+        self.least = min(MOST_PAUSE, max(PAUSE, settings.instance_count / TRIES))
         self.pause = PAUSE
 
     def first(self) -> float:
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -45,6 +45,7 @@
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.upstream import Attempt, Key, Nodes
+from gatebank.settings import Settings
 
 AT_ONCE = 0.01  # s that a shot is written in where it need not wait for a connection
 ROW = 2048  # bytes an invocation in hand takes besides, about
@@ -74,11 +75,11 @@
 
 class Dispatcher:
     def __init__(
-        self, orders: dict[str, Any], seed: int, clock: Clock, register: EndpointRegistry, most_held: int
+        self, settings: Settings, seed: int, clock: Clock, register: EndpointRegistry, most_held: int
     ) -> None:
-        self.orders, self.clock, self.register = orders, clock, register
+        self.settings, self.clock, self.register = settings, clock, register
         self.loop = asyncio.get_running_loop()
-        self.marshal = Balancer(orders, seed, clock())
+        self.marshal = Balancer(settings, seed, clock())
         self.nodes: Nodes  # these three are set before the first event
         self.desk: ReleaseService
         self.words: PeerTransport | None = None
@@ -92,7 +93,7 @@
         self.news: ReleaseStatus | None = None
         self.counts: dict[str, int] = {}  # as many as there are kinds of endings and answers
         self.lag = 0.0  # s the latest wake came late, since last told: this process did not get its turn
-        self.patience = min((o.get("target_time", 1.0) for o in orders["workloads"]), default=1.0)
+        self.patience = min((each.latency_objective for each in settings.request_classes), default=1.0)
 
     # Events in, one at a time.
 
@@ -312,7 +313,7 @@
         held.out += 1
         entry = self.entries.get(node)
         end = min(held.deadline, until or held.deadline)
-        most = self.orders.get("most_shots", 1)
+        most = self.settings.limits.max_attempts
         if held.answered or now >= end or number >= most or entry is None:
             self.shot_ended(held, number, node, now, Outcome.NOT_SENT, None, None)
             return
@@ -348,7 +349,7 @@
             self.probed(node, ending)
 
         entry = self.entries.get(node)
-        if entry is None or not self.orders.get("may_probe", False):
+        if entry is None or not self.settings.limits.may_check_health:
             self.probed(node, Outcome.NO_CONNECTION)
             return
         self.count("probes")
--- a/gatebank/proxy/downstream.py
+++ b/gatebank/proxy/downstream.py
@@ -15,13 +15,14 @@
 from contextlib import suppress
 from hashlib import blake2b
 from math import inf
-from typing import Any, Protocol
+from typing import Protocol
 
 from gatebank.events import RetrySafety
 from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address, Bounds
 from gatebank.proxy.log import say
 from gatebank.proxy.sockets import Pending, Record, give_back, hung_up, opened, unsent, waiting
+from gatebank.settings import Settings
 
 IN_HAND = 64  # commands of a connection before it is read on
 LOOK = 0.1  # s between looks at the clocks below
@@ -393,16 +394,21 @@
 class Clients:
     record: Record | None = None  # makes the tape of a connection
 
-    def __init__(self, orders: Mapping[str, Any], door: RequestHandler, most: int, bounds: Bounds) -> None:
+    def __init__(self, settings: Settings, door: RequestHandler, most: int, bounds: Bounds) -> None:
         self.loop, self.door, self.most = asyncio.get_running_loop(), door, most
         self.most_owed, self.grown = bounds.answers, resp.Allowance(bounds.buffers)
-        self.workloads = {each["name"]: (i, each["repeats"]) for i, each in enumerate(orders["workloads"])}
-        self.tenants = {each.get("name", str(i)): i for i, each in enumerate(orders["customers"])}
+        self.workloads = {
+            each.name: (i, each.retry_safety) for i, each in enumerate(settings.request_classes)
+        }
+        self.tenants = {each.name: i for i, each in enumerate(settings.tenants)}
         # A row a connection, the longest unused first; each goes with `Connection.close`.
         self.connections: dict[Connection, None] = {}
         self.owed, self.peak, self.leaving = 0, 0, False
         self.told_at: float | None = None  # when SIGTERM came
-        limits = [min(LONGEST, each.get("time_limit", LONGEST)) for each in orders["workloads"]]
+        limits = [
+            LONGEST if each.deadline is None else min(LONGEST, each.deadline)
+            for each in settings.request_classes
+        ]
         self.last = LAST_CALL + max(limits, default=LONGEST)
         self.accepting, self.acceptor = Pending(), None  # the task that accepts
         self.unread, self.said_at = 0, -1.0  # connections that sent what is no command; when last told
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -111,7 +111,7 @@
     def move(self, posting: Configuration, version: int | None = None) -> None:
         exchange = self.exchange
         if where := posting.roll:
-            tries = PollBackoff(exchange.orders, Random(f"{posting.seed} roll"))
+            tries = PollBackoff(exchange.settings, Random(f"{posting.seed} roll"))
             told = (exchange.rolled, exchange.roll_failed, tries, exchange.count)
             self.follow("roll", lambda turn: follow(where, self.register, version, *told, turn))
         else:
@@ -206,15 +206,15 @@
     posting: Configuration, environment: Mapping[str, str], operators: OperatorsFile | None = None
 ) -> None:
     loop = asyncio.get_running_loop()
-    orders, clock = dict(posting.settings), Clock()
-    register = EndpointRegistry(orders)
+    settings, clock = posting.settings, Clock()
+    register = EndpointRegistry(settings)
     bounds = posting.bounds
-    exchange = Dispatcher(orders, posting.seed, clock, register, bounds.commands)
+    exchange = Dispatcher(settings, posting.seed, clock, register, bounds.commands)
     room = posting.descriptors - ALSO
-    nodes = exchange.nodes = Nodes(orders, room // 2, bounds.buffers)
-    clients = Clients(orders, exchange, room - room // 2, bounds)
+    nodes = exchange.nodes = Nodes(settings, room // 2, bounds.buffers)
+    clients = Clients(settings, exchange, room - room // 2, bounds)
     exchange.desk = desk = ReleaseService(
-        posting.desk, register, orders.get("vote_timeout", 2.0), clock, exchange.told, exchange.complained,
+        posting.desk, register, settings.release.vote_timeout, clock, exchange.told, exchange.complained,
         {name: index for name, (index, _) in clients.workloads.items()},
     )  # fmt: skip
     recorder = recorder_for(posting, operators)
@@ -226,8 +226,8 @@
     learning: Learning | None = None
     try:
         try:
-            if posting.peer_listen and orders.get("may_tell"):
-                peers = (posting.peer_listen, posting.peers, posting.peers_all, orders["me"])
+            if posting.peer_listen and settings.limits.may_message_peers:
+                peers = (posting.peer_listen, posting.peers, posting.peers_all, settings.instance)
                 exchange.words = PeerTransport(*peers, exchange.heard)
         except OSError as trouble:
             raise ConfigurationError(f"{posting.peer_listen}: {trouble.strerror}") from trouble
--- a/gatebank/proxy/upstream.py
+++ b/gatebank/proxy/upstream.py
@@ -13,14 +13,14 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
 
 from gatebank.events import Outcome
 from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address
 from gatebank.proxy.log import say
 from gatebank.proxy.sockets import Pending, Record, give_back, opened, waiting
+from gatebank.settings import Settings
 
 PING = resp.command([b"PING"])
 # s a connection rests after an answer: a second one, which may come some milliseconds late (STANDING), would
@@ -285,18 +285,20 @@
 class Nodes:
     record: Record | None = None  # makes the tape of a connection
 
-    def __init__(self, orders: Mapping[str, Any], most: int, buffers: int = 1 << 20) -> None:
+    def __init__(self, settings: Settings, most: int, buffers: int = 1 << 20) -> None:
+        limits = settings.limits
+        idle_timeout = 10.0 if limits.connection_idle_timeout is None else limits.connection_idle_timeout
         self.loop, self.most, self.grown = asyncio.get_running_loop(), most, resp.Allowance(buffers)
         # Nodes give values beyond PROTOCOL's 64 KiB: what memory allows is taken, eight of the largest.
         self.most_value = max(resp.MOST_VALUE, buffers // 8)
         self.pools: dict[Key, ConnectionPool] = {}  # emptied as nodes leave the roll
         self.open = self.peak = self.opened = 0  # now, at most, and since the start
         self.opening: set[asyncio.Task[None]] = set()  # each goes when its connection is up or not
-        self.connect_timeout = orders.get("connect_timeout", 1.0)
-        self.streams = orders.get("shots_per_connection", 1)
+        self.connect_timeout = 1.0 if limits.connect_timeout is None else limits.connect_timeout
+        self.streams = limits.attempts_per_connection
         # Half of the time after which a node closes them at the latest: it may be earlier.
-        self.retire_after = orders.get("connection_idle", 10.0) / 2
-        self.fields = [REPORTED.get(name, name) for name in orders.get("report_fields", ())]
+        self.retire_after = idle_timeout / 2
+        self.fields = [REPORTED.get(name, name) for name in settings.report_fields]
 
     def send(
         self,
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -67,15 +67,21 @@
     def __init__(self, player: Player, posting: Configuration, live: Collection[str]) -> None:
         self.player = player
         self.places: dict[Play, Place] = {}  # each goes with its answer
-        orders, clock = dict(posting.settings), Clock()
-        register = EndpointRegistry(orders)
-        self.exchange = exchange = Rehearsing(orders, posting.seed, clock, register, posting.bounds.commands)
+        settings, clock = posting.settings, Clock()
+        register = EndpointRegistry(settings)
+        self.exchange = exchange = Rehearsing(
+            settings, posting.seed, clock, register, posting.bounds.commands
+        )
         exchange.live = live
-        self.nodes = exchange.nodes = Nodes(orders, (posting.descriptors - ALSO) // 2, posting.bounds.buffers)
-        self.workloads = {w["name"]: (i, w["repeats"]) for i, w in enumerate(orders["workloads"])}
-        self.customers = {c.get("name", str(i)): i for i, c in enumerate(orders["customers"])}
+        self.nodes = exchange.nodes = Nodes(
+            settings, (posting.descriptors - ALSO) // 2, posting.bounds.buffers
+        )
+        self.workloads = {
+            each.name: (i, each.retry_safety) for i, each in enumerate(settings.request_classes)
+        }
+        self.customers = {each.name: i for i, each in enumerate(settings.tenants)}
         kinds = {name: index for name, (index, _) in self.workloads.items()}
-        patience = orders.get("vote_timeout", 2.0)
+        patience = settings.release.vote_timeout
         self.desk = exchange.desk = ReleaseService(
             posting.desk, register, patience, clock, exchange.told, exchange.complained, kinds
         )
--- a/gatebank/settings.py
+++ b/gatebank/settings.py
@@ -1,111 +1,230 @@
-"""Standing orders, for both fronts, from the settings handed over: names become ours, milliseconds seconds.
+"""The settings of one instance, typed, read once from the settings' own names.
 
-Only what the settings hold is handed over; what they lack, the brain sees as missing.
+The operators' names (``limits.max-attempts``, ``domain.caps``) are mapped here and nowhere else; milliseconds
+become seconds. Only what the program uses is read: docs/design.md lists what the settings offer besides. What
+the settings lack has the default of its field.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Any
 
 from gatebank.events import RetrySafety
 
-AS_IS, SECONDS = 1, 0.001
-REPEATS = {
+SECONDS_PER_MILLISECOND = 0.001
+UNLIMITED_RATE = 1e9  # per second, where the settings name no limit
+RETRY_SAFETY = {
     "free": RetrySafety.IDEMPOTENT,
     "guarded": RetrySafety.KEYED,
     "single_shot": RetrySafety.NON_IDEMPOTENT,
 }
 
-ORDERS = (
-    ("me", "me", AS_IS),
-    ("balancers", "marshals", AS_IS),
-    ("zone", "zone", AS_IS),
-    ("zones", "zones", AS_IS),
-    ("kinds", "kinds", AS_IS),
-    ("registry-mode", "roll_mode", AS_IS),
-    ("round-ms", "tick", SECONDS),
-    ("over-share-worth", "over_share_payoff", AS_IS),
-    ("weight-source", "weight_source", AS_IS),
-    ("value-by", "payoff_by", AS_IS),
-    ("report.fields", "report_fields", AS_IS),
-    ("report.source", "report_source", AS_IS),
-    ("clients.marks-retry", "repeats_marked", AS_IS),
-    ("limits.cancel", "may_withdraw", AS_IS),
-    ("limits.max-attempts", "most_shots", AS_IS),
-    ("limits.may-duplicate", "second_copies", AS_IS),
-    ("limits.peers", "may_tell", AS_IS),
-    ("limits.probes", "may_probe", AS_IS),
-    ("limits.retry-after", "may_say_back_in", AS_IS),
-    ("limits.max-retry-after-ms", "most_back_in", SECONDS),
-    ("limits.connect-timeout-ms", "connect_timeout", SECONDS),
-    ("limits.conn-idle-ms", "connection_idle", SECONDS),
-    ("limits.streams-per-conn", "shots_per_connection", AS_IS),
-    ("invariants.answer-slack-ms", "answer_slack", SECONDS),
-    ("invariants.drain-grace-ms", "drain_grace", SECONDS),
-    ("invariants.fall-multiple", "fall_multiple", AS_IS),
-    ("invariants.start-capacity", "start_capacity", AS_IS),
-    ("invariants.tip-after-ms", "fall_window", SECONDS),
-    ("invariants.warm-up-ms", "warm_up", SECONDS),
-    ("charges.cross-zone", "crossing_price", AS_IS),
-    ("charges.late-fail", "late_fail_price", AS_IS),
-    ("charges.peer", "peer_price", AS_IS),
-    ("charges.probe", "probe_price", AS_IS),
-    ("charges.waste", "waste_price", AS_IS),
-    ("domain.api-rate", "votes_per_second", AS_IS),
-    ("domain.ayes-needed", "on_votes", AS_IS),
-    ("domain.back-votes", "back_votes", AS_IS),
-    ("domain.hold-votes", "hold_votes", AS_IS),
-    ("domain.bake-ms", "bake", SECONDS),
-    ("domain.call-timeout-ms", "vote_timeout", SECONDS),
-    ("domain.caps", "caps", AS_IS),
-    ("domain.rings", "stage_shares", AS_IS),
-    ("domain.complaint-share", "complaint_share", AS_IS),
-    ("domain.control", "control", AS_IS),
-    ("domain.counted-by", "counted_by", AS_IS),
-    ("domain.counted-share", "tally_share", AS_IS),
-    ("domain.exposure-window-ms", "exposure_window", SECONDS),
-    ("domain.harm-price", "harm_price", AS_IS),
-    ("domain.keys-stay", "keys_stay", AS_IS),
-    ("domain.shielded", "shielded_stages", AS_IS),
-    ("domain.spare-tries", "spare_shots", AS_IS),
-    ("domain.stage-time-ms", "stage_time", SECONDS),
-    ("domain.stale-build-price", "behind_price", AS_IS),
-    ("domain.swap", "swap", AS_IS),
-    ("domain.tally-every-ms", "tally_every", SECONDS),
-    ("domain.told-every-ms", "told_every", SECONDS),
-    ("domain.vote-ttl-ms", "vote_life", SECONDS),
-)
-WORKLOAD = (
-    ("name", "name", AS_IS),
-    ("on-time-ms", "target_time", SECONDS),
-    ("deadline-ms", "time_limit", SECONDS),
-    ("aim-stretch", "target_stretch", AS_IS),
-    ("late-worth", "late_payoff", AS_IS),
-    ("worth", "payoff", AS_IS),
-    ("group", "group", AS_IS),
-    ("window-ms", "window", SECONDS),
-    ("streamed", "streamed", AS_IS),
-)
-CUSTOMER = (("name", "name", AS_IS), ("quota-rps", "quota", AS_IS), ("share", "share", AS_IS))
-
-
-def _renamed(given: Mapping[str, Any], table: Iterable[tuple[str, str, float]]) -> dict[str, Any]:
-    found: dict[str, Any] = {}
-    for path, name, scale in table:
-        value: Any = given
-        for step in path.split("."):
-            value = value.get(step) if isinstance(value, Mapping) else None
-        if value is not None:
-            found[name] = value if scale is AS_IS else value * scale
-    return found
-
-
-def read_settings(given: Mapping[str, Any]) -> dict[str, Any]:
-    """The plain map of names to values that the brain picks from."""
-    orders = _renamed(given, ORDERS)
-    orders["workloads"] = [
-        _renamed(each, WORKLOAD) | {"repeats": REPEATS[each["semantics"]]} for each in given["classes"]
-    ]
-    orders["customers"] = [_renamed(each, CUSTOMER) for each in given.get("accounts", ())]
-    return orders
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestClass:
+    """Requests of one kind; times in seconds.
+
+    Attributes:
+        name: its index, where the settings name none.
+        retry_safety: whether a request may run again.
+        latency_objective: an answer within this time has its full worth.
+        deadline: the client's whole waiting time; None where the settings tell none.
+        priority_weight: the worth of a request.
+        retry_group: ``all``, ``zone`` or ``cell``: the endpoints that discard repetitions of a keyed request.
+        retry_window: for how long they discard them, from the start of the first attempt that may have run.
+    """
+
+    name: str
+    retry_safety: RetrySafety
+    latency_objective: float = 1.0
+    deadline: float | None = None
+    priority_weight: float = 1.0
+    retry_group: str = "all"
+    retry_window: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Tenant:
+    """An account; ``share`` is its fraction of the service."""
+
+    name: str
+    share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """What the deployment permits; times in seconds, None where the settings tell none."""
+
+    max_attempts: int = 1
+    may_cancel: bool = False
+    may_message_peers: bool = False
+    may_check_health: bool = False
+    may_advise_retry_after: bool = False
+    connect_timeout: float | None = None
+    connection_idle_timeout: float | None = None
+    attempts_per_connection: int = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlowStart:
+    """An endpoint that starts: its capacity grows from ``initial_capacity`` (a fraction) to the whole within
+    ``warm_up`` seconds; over ``overload_multiple`` times of what it has by then, for ``overload_window``
+    seconds, it falls over."""
+
+    initial_capacity: float = 1.0
+    warm_up: float = 0.0
+    overload_multiple: float = 1.0
+    overload_window: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReleasePolicy:
+    """How builds are released; times in seconds.
+
+    Attributes:
+        caps: for each stage, the share of requests that may be sent to the canary.
+        counts_by_class: the cap holds for each request class separately.
+        exposure_window: the time over which attempts at the canary are counted.
+        spare_attempts: attempts in a window that the cap does not count.
+        sticky_keys: a key that the canary answered is sent to no earlier build.
+        shielded_stages: in stages below, the canary gets idempotent requests only.
+        promote_votes, rollback_votes: instances that it takes.
+        votes_per_second: what the release service accepts of all instances together.
+        vote_timeout: the longest wait for the answer to a vote.
+        vote_lifetime: for how long a vote stands.
+    """
+
+    caps: Sequence[float] = (0.0,)
+    counts_by_class: bool = False
+    exposure_window: float = 0.0
+    spare_attempts: float = 0
+    sticky_keys: bool = False
+    shielded_stages: int = 0
+    promote_votes: int = 1
+    rollback_votes: int = 1
+    votes_per_second: float = UNLIMITED_RATE
+    vote_timeout: float = 2.0
+    vote_lifetime: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """All settings of an instance.
+
+    Attributes:
+        instance: its number among all, from 0.
+        instance_count: how many instances are configured.
+        polls_endpoints: discovery is asked; otherwise an agent pushes the endpoint list.
+        weighs_by_work: a request's worth is measured by its work, not by the request.
+        kinds, zones: the names of machine kinds and zones, in the order of their indices.
+        report_fields: the values of a load report, in order.
+    """
+
+    instance: int = 0
+    instance_count: int = 1
+    polls_endpoints: bool = False
+    weighs_by_work: bool = False
+    kinds: Sequence[str] = ()
+    zones: Sequence[str] = ()
+    report_fields: Sequence[str] = ()
+    request_classes: tuple[RequestClass, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    limits: Limits = field(default_factory=Limits)
+    slow_start: SlowStart = field(default_factory=SlowStart)
+    release: ReleasePolicy = field(default_factory=ReleasePolicy)
+
+
+class _Section:
+    """One object of the settings; what it lacks is left to the default of the field."""
+
+    def __init__(self, given: Any) -> None:
+        self.given = given if isinstance(given, Mapping) else {}
+
+    def present(self, **names: str) -> dict[str, Any]:
+        """The values there are, by field; each argument names a field and the settings' word for it."""
+        found = {name: self.given.get(word) for name, word in names.items()}
+        return {name: value for name, value in found.items() if value is not None}
+
+    def seconds(self, **names: str) -> dict[str, Any]:
+        """Likewise, from milliseconds to seconds."""
+        return {name: value * SECONDS_PER_MILLISECOND for name, value in self.present(**names).items()}
+
+
+def read_settings(given: Mapping[str, Any]) -> Settings:
+    """The settings from their own form.
+
+    Raises:
+        KeyError, TypeError, ValueError, AttributeError: a class lacks its semantics, or a value has a
+            wrong form.
+    """
+    section = _Section(given)
+    return Settings(
+        **section.present(instance="me", instance_count="balancers", kinds="kinds", zones="zones"),
+        **_Section(given.get("report")).present(report_fields="fields"),
+        polls_endpoints=given.get("registry-mode") == "ask",
+        weighs_by_work=given.get("value-by") == "work",
+        request_classes=tuple(
+            _request_class(each, str(index)) for index, each in enumerate(given["classes"])
+        ),
+        tenants=tuple(_tenant(each, str(index)) for index, each in enumerate(given.get("accounts", ()))),
+        limits=_limits(_Section(given.get("limits"))),
+        slow_start=_slow_start(_Section(given.get("invariants"))),
+        release=_release_policy(_Section(given.get("domain"))),
+    )
+
+
+def _request_class(given: Mapping[str, Any], default_name: str) -> RequestClass:
+    section = _Section(given)
+    return RequestClass(
+        name=given.get("name", default_name),
+        **section.present(priority_weight="worth", retry_group="group"),
+        **section.seconds(latency_objective="on-time-ms", deadline="deadline-ms", retry_window="window-ms"),
+        retry_safety=RETRY_SAFETY[given["semantics"]],
+    )
+
+
+def _tenant(given: Mapping[str, Any], default_name: str) -> Tenant:
+    return Tenant(name=given.get("name", default_name), **_Section(given).present(share="share"))
+
+
+def _limits(section: _Section) -> Limits:
+    return Limits(
+        **section.present(
+            max_attempts="max-attempts",
+            may_cancel="cancel",
+            may_message_peers="peers",
+            may_check_health="probes",
+            may_advise_retry_after="retry-after",
+            attempts_per_connection="streams-per-conn",
+        ),
+        **section.seconds(connect_timeout="connect-timeout-ms", connection_idle_timeout="conn-idle-ms"),
+    )
+
+
+def _slow_start(section: _Section) -> SlowStart:
+    return SlowStart(
+        **section.present(initial_capacity="start-capacity", overload_multiple="fall-multiple"),
+        **section.seconds(warm_up="warm-up-ms", overload_window="tip-after-ms"),
+    )
+
+
+def _release_policy(section: _Section) -> ReleasePolicy:
+    return ReleasePolicy(
+        **section.present(
+            caps="caps",
+            spare_attempts="spare-tries",
+            sticky_keys="keys-stay",
+            shielded_stages="shielded",
+            promote_votes="ayes-needed",
+            rollback_votes="back-votes",
+            votes_per_second="api-rate",
+        ),
+        **section.seconds(
+            exposure_window="exposure-window-ms",
+            vote_timeout="call-timeout-ms",
+            vote_lifetime="vote-ttl-ms",
+        ),
+        counts_by_class=section.given.get("counted-by") == "per_lane",
+    )
--- a/gatebank/state.py
+++ b/gatebank/state.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gatebank.events import NEVER_RAN, AttemptResult, Endpoint, Outcome, Request, Settings
+from gatebank.events import NEVER_RAN, AttemptResult, Endpoint, Outcome, Request
+from gatebank.settings import RequestClass
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,7 +83,7 @@
     """An invocation in hand; dropped with its final answer."""
 
     invocation: Request
-    orders: Settings  # those of its workload
+    request_class: RequestClass
     came: float
     shots: list[tuple[Node, float]] = field(default_factory=list)
     endings: list[Outcome | None] = field(default_factory=list)  # None while it is out
--- a/gatebank/state_transfer/balancer_state.py
+++ b/gatebank/state_transfer/balancer_state.py
@@ -13,6 +13,7 @@
 from gatebank.balancer import Balancer, SequentialTest
 from gatebank.events import Condition, InheritedEndpoint, InheritedState, Phase, ReleaseStatus, ReplyStatus
 from gatebank.peer_messages import InstanceReport
+from gatebank.settings import Settings
 from gatebank.state import Node
 from gatebank.state_transfer.items import (
     Cold,
@@ -43,10 +44,10 @@
 class Names:
     """What the front's indices stand for: its register, workloads and machine kinds."""
 
-    def __init__(self, orders: Mapping[str, Any], names: Mapping[int, str] | Sequence[str | None]) -> None:
+    def __init__(self, settings: Settings, names: Mapping[int, str] | Sequence[str | None]) -> None:
         self.nodes = names
-        self.workloads = [each.get("name", str(i)) for i, each in enumerate(orders["workloads"])]
-        self.kinds = list(orders.get("kinds", ()))
+        self.workloads = [each.name for each in settings.request_classes]
+        self.kinds = list(settings.kinds)
 
     def kind(self, index: int) -> str:
         return str(self.kinds[index]) if 0 <= index < len(self.kinds) else f"#{index}"
@@ -133,7 +134,7 @@
 
 def cold(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
     """What this marshal sends nodes that have just started: its shots out over the time that they take."""
-    limit, sent = marshal.orders["warm_up"] + 1.0, dict[tuple[str, int, float], int]()
+    limit, sent = marshal.settings.slow_start.warm_up + 1.0, dict[tuple[str, int, float], int]()
     for node, _, _ in marshal.out.values():
         entry = node.entry
         if entry.started and now - entry.started < limit and (name := names.nodes[entry.node]):
@@ -177,7 +178,7 @@
 
 def window(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
     """Single shots at each build, and invocations taken, of the last exposure window."""
-    since = now - marshal.orders["exposure_window"]
+    since = now - marshal.settings.release.exposure_window
     shots = [(at, w, build) for build, rows in marshal.sent_to.items() for at, w in rows if at >= since]
     for at, w, build in sorted(shots)[-MOST_ROWS:]:
         yield Sent(**mine, age=max(0.0, now - at), seen=1, build=build, workload=names.workloads[w])
@@ -224,7 +225,7 @@
         for index, node in self.marshal.nodes.items():
             if node.entry.condition is Condition.READY and (name := self.names.nodes[index]) is not None:
                 processes[name] = name, node.entry.build, node.entry.started
-        span = self.marshal.orders["exposure_window"]
+        span = self.marshal.settings.release.exposure_window
         found = believe(self.learnt.items(now), processes, self.name, span, self.lives)
         found.window_known = self.window_known
         return found
@@ -246,12 +247,12 @@
                 earlier[workloads[workload], kinds[kind]] = known
         heard = []
         for item in belief.sums:
-            if item.marshal < marshal.orders["marshals"]:
+            if item.marshal < marshal.settings.instance_count:
                 fit = {r: row for r, row in item.ratios.items() if 0 <= r < len(marshal.past)}
                 heard.append(
                     (item.marshal, InstanceReport(item.life, item.build, item.stage, 0.0, 0.0, {}, fit))
                 )
-        span = marshal.orders["exposure_window"]
+        span = marshal.settings.release.exposure_window
         since = now - marshal.began  # rows of a former life lie before this one began
         return InheritedState(
             nodes={
--- a/gatebank/state_transfer/protocol.py
+++ b/gatebank/state_transfer/protocol.py
@@ -21,6 +21,7 @@
 import msgspec
 from msgspec import Meta
 
+from gatebank.settings import Settings
 from gatebank.state_transfer.items import FORMS, VERSION, Age, Known, Name, Number, Unsound, pack, unpack
 
 HELLO, ASK, PART, END, REFUSE = 1, 2, 3, 4, 5
@@ -131,16 +132,16 @@
         self.other = told
 
 
-def deployment(orders: Any) -> str:
+def deployment(settings: Settings) -> str:
     """A name for the settings that both sides must share: workloads, kinds and zones, in their order.
 
-    >>> one = {"workloads": [{"name": "a"}], "kinds": ["m"], "zones": ["z"]}
-    >>> deployment(one) == deployment(dict(one)), deployment(one) == deployment(one | {"zones": ["y"]})
+    >>> one = Settings(kinds=["m"], zones=["z"])
+    >>> deployment(one) == deployment(replace(one)), deployment(one) == deployment(replace(one, zones=["y"]))
     (True, False)
     """
     names = [
-        [w.get("name", "") for w in orders["workloads"]],
-        orders.get("kinds", []),
-        orders.get("zones", []),
+        [each.name for each in settings.request_classes],
+        list(settings.kinds),
+        list(settings.zones),
     ]
     return blake2b(ENCODER.encode(names), digest_size=8).hexdigest()
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -114,7 +114,7 @@
         self.orders, self.exchange, self.name = orders, exchange, name
         self.loop, self.clock = asyncio.get_running_loop(), exchange.clock
         self.marshal = exchange.marshal
-        self.names = Names(exchange.orders, exchange.register.names)
+        self.names = Names(exchange.settings, exchange.register.names)
         lives = HalfLives(
             orders.half_life_well, orders.half_life_sick, orders.half_life_slow, orders.half_life_times,
             orders.half_life_past, orders.half_life_sums,
@@ -122,7 +122,7 @@
         # Of this start alone: a seed, and with it the brain's own number, may be the same again.
         self.life = int.from_bytes(os.urandom(6), "big")
         self.taught = Taught(self.marshal, self.names, name, lives, self.life)
-        self.deployment = protocol.deployment(exchange.orders)
+        self.deployment = protocol.deployment(exchange.settings)
         self.began = self.clock()
         self.keys: Changing | None = None
         if not orders.plain and (orders.listen or orders.donors):
