--- /dev/null
+++ b/tests/data/before/operators/faults.star
@@ -0,0 +1,7 @@
+recording(folder = "", sides = ["customer", "nod"], file_bytes = 1)
+recording(folder = "a", hide = ["ticket"], keep_bytes = 65536)
+learning(donors = ["127.0.0.1:7950"], half_life_well = 100)
+learning()
+keys(watch = 0)
+target(address = "nowhere")
+target(address = "127.0.0.1:1", keeps_tickets = True, rehersal = True)
