--- a/gatebank/actions.py
+++ b/gatebank/actions.py
@@ -1,4 +1,4 @@
-"""Actions: what the balancer asks its host to do, in order, after each event."""
+"""Actions: what the balancer asks its host to do, in order, after each event; and the timers it starts."""
 
 from __future__ import annotations
 
@@ -8,51 +8,93 @@
 from gatebank.peer_messages import PeerMessage
 
 
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """The timer for what only time changes."""
+
+
+@dataclass(slots=True, frozen=True)
+class WatchTimer:
+    """Time to watch the endpoint list again, after a watch that failed."""
+
+
+@dataclass(slots=True, frozen=True)
+class EjectionTimer:
+    """Time to check the health of an ejected endpoint."""
+
+    endpoint: int
+
+
+@dataclass(slots=True, frozen=True)
+class RequestTimer:
+    """Time to look at a request again; ``generation`` tells whether it still waits for this timer."""
+
+    request: int
+    generation: int
+
+
+Timer = Tick | WatchTimer | EjectionTimer | RequestTimer
+
+
 @dataclass(slots=True, frozen=True)
 class StartAttempt:
-    invocation: int
-    node: int
+    """Send a request to an endpoint; give the attempt up at ``until`` (None: when the client does)."""
+
+    request: int
+    endpoint: int
     until: float | None
 
 
 @dataclass(slots=True, frozen=True)
 class CancelAttempt:
-    invocation: int
-    shot: int
+    """Stop waiting for an attempt."""
+
+    request: int
+    attempt: int
 
 
 @dataclass(slots=True, frozen=True)
 class RejectRequest:
-    invocation: int
-    back_in: float | None
+    """Final answer: trying again is harmless, best after ``retry_after`` seconds."""
+
+    request: int
+    retry_after: float | None
 
 
 @dataclass(slots=True, frozen=True)
 class FailRequest:
-    invocation: int
+    """Final answer that promises nothing."""
+
+    request: int
 
 
 @dataclass(slots=True, frozen=True)
 class StartTimer:
+    """Call ``on_timer`` with this timer at a time in the balancer's seconds."""
+
     at: float
-    name: str
+    timer: Timer
 
 
 @dataclass(slots=True, frozen=True)
 class CheckHealth:
-    node: int
+    """Ask an endpoint for a sign of life; its outcome comes by ``on_health_check_result``."""
+
+    endpoint: int
 
 
 @dataclass(slots=True, frozen=True)
 class SendToPeer:
-    """Send a word to one peer, or to all (None)."""
+    """Send a message to one peer, or to all (None)."""
 
     peer: int | None
-    word: PeerMessage
+    message: PeerMessage
 
 
 @dataclass(slots=True, frozen=True)
 class CastVote:
+    """Vote on a build at a stage; the answer comes by ``on_release_status``."""
+
     build: int
     stage: int
     verdict: Verdict
@@ -60,7 +102,7 @@
 
 @dataclass(slots=True, frozen=True)
 class WatchEndpoints:
-    """Ask the node roll to send its changes from now on."""
+    """Ask discovery to send the changes of the endpoint list from now on."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -14,9 +14,9 @@
 
 from gatebank.statistics.endpoint_groups import EndpointGroups, OutstandingAttempts, Some
 from gatebank.statistics.sliding_window import SlidingWindow
-from gatebank.events import AttemptResult, Condition, Endpoint, InheritedState, NEVER_RAN, Outcome, Phase, Plain, ReleaseStatus, ReplyStatus, Request, RetrySafety, Verdict, Word
+from gatebank.events import AttemptResult, Condition, Endpoint, InheritedState, NEVER_RAN, Outcome, Phase, ReleaseStatus, ReplyStatus, Request, RetrySafety, Verdict
 from gatebank.settings import Settings
-from gatebank.actions import Action, CancelAttempt, CastVote, CheckHealth, FailRequest, LogMessage, RejectRequest, SendToPeer, StartAttempt, StartTimer, WatchEndpoints
+from gatebank.actions import Action, CancelAttempt, CastVote, CheckHealth, FailRequest, LogMessage, RejectRequest, SendToPeer, StartAttempt, StartTimer, WatchEndpoints, Tick, WatchTimer, RequestTimer, EjectionTimer, Timer
 from gatebank.state import BrokenOff, Rejected, Shot, Wait, Wish
 from gatebank.peer_messages import COLD, EARLIER, ON_TRIAL, FleetReport, LlrDelta, InstanceReport, short, together
 from gatebank.state import Node, RequestState, forget, learned
@@ -110,7 +110,7 @@
         self.me, marshals, self.life = settings.instance, settings.instance_count, chance.getrandbits(16)
         self.fusers = range(min(3, marshals))  # the design's three; where votes need more, others follow them
         self.needed = {Verdict.PROMOTE: release.promote_votes, Verdict.ROLL_BACK: release.rollback_votes}
-        self.actions: list[Action] = [WatchEndpoints()] * settings.polls_endpoints + [StartTimer(now + BEAT, "beat")]
+        self.actions: list[Action] = [WatchEndpoints()] * settings.polls_endpoints + [StartTimer(now + BEAT, Tick())]
         self.nodes: dict[int, Node] = {}  # as the roll has them
         self.ready: list[Node] = []  # those that may be sent to
         self.tasks: dict[int, RequestState] = {}
@@ -160,22 +160,22 @@
         """Rule 3: what drains, is gone or is missing from a whole list is never chosen from here on."""
         kept = {} if whole else dict(self.nodes)
         for entry in entries:
-            node = self.nodes.get(entry.node)
+            node = self.nodes.get(entry.index)
             if not node or (node.entry.started, node.entry.build) != (entry.started, entry.build):
                 node = Node(entry)  # a new process, or another machine under the old id
-            kept[entry.node], node.entry = node, entry
+            kept[entry.index], node.entry = node, entry
         self.nodes = {i: node for i, node in kept.items() if node.entry.condition is not Condition.GONE}
-        alike = sorted(self.nodes.values(), key=lambda n: n.entry.mark)  # at all marshals, for `near`
+        alike = sorted(self.nodes.values(), key=lambda n: n.entry.name_hash)  # at all marshals, for `near`
         self.ready = [n for n in alike if n.entry.condition is Condition.READY]
         self.groups = EndpointGroups(self.ready)
         self.lowest = min((n.entry.build for n in self.nodes.values()), default=0)
 
     def on_request(self, invocation: Request) -> None:
-        self.taken.add(self.now, invocation.workload)
-        self.arrived.add(self.now, invocation.customer)
-        if not invocation.repeated:
+        self.taken.add(self.now, invocation.request_class)
+        self.arrived.add(self.now, invocation.tenant)
+        if not invocation.is_client_retry:
             self.first_tries.add(self.now)
-        task = RequestState(invocation, self.workloads[invocation.workload], self.now)
+        task = RequestState(invocation, self.workloads[invocation.request_class], self.now)
         self.tasks[invocation.number], task.story = task, self.serve(task)
         self.resume(task, None)
 
@@ -185,7 +185,7 @@
             may_send = self.may_send(task) and (bool(task.shots) or not self.too_much(task))
             node = self.choose(task) if may_send else None
             if node:
-                yield Shot(node.entry.node)
+                yield Shot(node.entry.index)
             elif may_send and self.now < task.came + task.request_class.latency_objective:
                 yield Wait(0.1)  # none may take it now: the roll or a cold one's budget may mend it
             else:
@@ -200,7 +200,7 @@
         """Shed before queues tip, whatever fills them: by Little's law an answer takes shots out / answers a
         second, and the shortest target time must hold. What pays least for its work goes first. Harmful where
         answers come in bursts: so two a node go."""
-        workload, fleet = task.invocation.workload, self.fleet
+        workload, fleet = task.invocation.request_class, self.fleet
         done = (len(self.done) - (self.done.count(*self.stuck) if self.stuck else 0)) / 2.0
         held = (out := self.shots_out()) * self.settings.instance_count
         if fleet:  # own answers against ten of the fleet's: where traffic is thin, those decide
@@ -215,8 +215,8 @@
         pays = [o.priority_weight / (by_work or p[0] or 1) for o, p in zip(self.workloads, self.pace, strict=True)]
         bound = done * min(o.latency_objective for o in self.workloads) * 0.6 * (1 + pays[workload] / max(pays))
         if self.settings.tenants and out > 0.7 * bound:  # first what a customer sends beyond its share
-            mine = self.arrived.count(task.invocation.customer)
-            share = self.settings.tenants[task.invocation.customer].share
+            mine = self.arrived.count(task.invocation.tenant)
+            share = self.settings.tenants[task.invocation.tenant].share
             over = self.random() * mine > 1.2 * share / max(0.01, 1 - share) * (len(self.arrived) - mine)
             bound *= 0.7 if over else 1.0
         return out > bound
@@ -230,7 +230,7 @@
         kept = how is RetrySafety.KEYED and self.now < since + task.request_class.retry_window - 0.05
         return not ran or how is RetrySafety.IDEMPOTENT or kept
 
-    def still(self, number: int, shot: int) -> bool:
+    def may_start(self, number: int, shot: int) -> bool:
         """A shot waited for its connection: what it was chosen on may have passed. Rule 5 counts it anew."""
         (_, build, w), task = self.out[number, shot], self.tasks[number]
         may = self.may_run(task, task.may_have_run()[:-1])
@@ -245,7 +245,7 @@
             self.close(task)
             return
         if isinstance(wish, Shot):
-            node, w = self.nodes[wish.node], task.invocation.workload
+            node, w = self.nodes[wish.node], task.invocation.request_class
             self.actions.append(StartAttempt(number, wish.node, wish.until))
             self.out[number, len(task.shots)] = (node, node.entry.build, w)
             self.silent.sent(node, w)
@@ -256,45 +256,46 @@
         task.wake = next(self.serial)
         if wish.patience is not None:
             at = min(self.now + wish.patience, max(task.deadline() - 0.01, self.now))
-            self.actions.append(StartTimer(at, f"{number} {task.wake}"))
+            self.actions.append(StartTimer(at, RequestTimer(number, task.wake)))
 
     def close(self, task: RequestState) -> None:  # it has its final answer: what is still out is no use
         self.tasks.pop(number := task.invocation.number, None)
         if self.settings.limits.may_cancel:
             self.actions += [CancelAttempt(number, shot) for shot, end in enumerate(task.endings) if end is None]
 
-    def on_timer(self, name: str) -> None:
-        first, _, second = name.partition(" ")
-        if name == "beat":
-            self.beat()
-        elif name == "follow":
-            self.actions.append(WatchEndpoints())
-        elif first != "probe":
-            if (task := self.tasks.get(int(first))) and task.wake == int(second):
-                self.resume(task, None)
-        elif (node := self.nodes.get(int(second))) and node.aside:
-            self.actions.append(CheckHealth(node.entry.node))
+    def on_timer(self, timer: Timer) -> None:
+        match timer:
+            case Tick():
+                self.beat()
+            case WatchTimer():
+                self.actions.append(WatchEndpoints())
+            case RequestTimer(number, generation):
+                if (task := self.tasks.get(number)) and task.wake == generation:
+                    self.resume(task, None)
+            case EjectionTimer(index):
+                if (node := self.nodes.get(index)) and node.aside:
+                    self.actions.append(CheckHealth(index))
 
     def on_client_disconnect(self, number: int) -> None:
         self.close(self.tasks[number]) if number in self.tasks else None
 
     def on_attempt_result(self, number: int, ended: AttemptResult) -> None:
         task = self.tasks.get(number)
-        if sent := self.out.pop((number, ended.shot), None):
+        if sent := self.out.pop((number, ended.attempt), None):
             self.learn(*sent, ended)
             # An error is its node's and build's where another shot is satisfied: what fails anywhere
             # is nobody's. An exclusive one has no other and counts. Harmful where hardly any node can serve.
             blamed, doubts = [(*sent, ended)], task.doubts if task else []
-            if task and ended.ending is Outcome.ERROR and task.request_class.retry_safety is not RetrySafety.NON_IDEMPOTENT:
+            if task and ended.outcome is Outcome.ERROR and task.request_class.retry_safety is not RetrySafety.NON_IDEMPOTENT:
                 task.doubts, blamed = doubts + blamed, []
-            for each in blamed + (doubts if ended.ending is Outcome.SUCCESS else []):
+            for each in blamed + (doubts if ended.outcome is Outcome.SUCCESS else []):
                 self.charge(*each)
         if task:
-            task.endings[ended.shot] = ended.ending
+            task.endings[ended.attempt] = ended.outcome
             key, newest = task.invocation.key, self.news.build if self.news else None
-            if ended.over and key is not None and self.settings.release.sticky_keys and sent and sent[1] == newest:
+            if ended.request_done and key is not None and self.settings.release.sticky_keys and sent and sent[1] == newest:
                 self.stayed[key] = sent[1]
-            self.close(task) if ended.over else self.resume(task, ended)
+            self.close(task) if ended.request_done else self.resume(task, ended)
 
     def on_trial(self, build: int) -> bool:  # Rule 5: told last and not released, or later
         if self.news is None or self.news.build is None:  # only the lowest build listed is surely not
@@ -302,7 +303,7 @@
         return build > self.news.build or (build == self.news.build and self.news.phase is not Phase.RELEASED)
 
     def cap_allows(self, task: RequestState, build: int, more: int = 1) -> bool:  # Rule 5: own count in its window
-        release, news, w, how = self.settings.release, self.news, task.invocation.workload, task.request_class.retry_safety
+        release, news, w, how = self.settings.release, self.news, task.invocation.request_class, task.request_class.retry_safety
         told = news if news is not None and news.build == build else None
         cap, stage = (told.cap, told.stage) if told else (release.caps[0], 0)
         if not cap or (how is not RetrySafety.IDEMPOTENT and stage < release.shielded_stages):
@@ -397,7 +398,7 @@
         return new if self.random() * (new_part + old_part) < new_part else old
 
     def learn(self, node: Node, build: int, w: int, ended: AttemptResult) -> None:  # of its node and the usual times
-        ending, took, ok = ended.ending, ended.took, ended.ending is Outcome.SUCCESS
+        ending, took, ok = ended.outcome, ended.duration, ended.outcome is Outcome.SUCCESS
         node.silent_since = node.told_at = self.now
         node.held, node.seen = node.held - 1, node.seen + 1
         self.silent.ended(node, w)
@@ -408,22 +409,22 @@
         given_up = ending in (Outcome.TIMED_OUT, Outcome.CANCELLED) and took > self.pace[w][0]
         if (ok or given_up) and self.now - took >= self.woke_at:
             side = COLD if not self.warm(node) else ON_TRIAL if self.on_trial(build) else EARLIER
-            self.ended.append((self.now, (w, node.entry.kind, side), took, ok))
+            self.ended.append((self.now, (w, node.entry.machine_kind, side), took, ok))
             was, usual = node.slow, self.pace[w][0] or took or 1.0
             node.slow += (took / usual - was) * 0.2
             self.groups.moved("slow", node, was, node.slow)
 
     def charge(self, node: Node, build: int, w: int, ended: AttemptResult) -> None:  # to its node and build
-        if (ending := ended.ending) not in (Outcome.CANCELLED, Outcome.REJECTED, Outcome.NOT_SENT):
+        if (ending := ended.outcome) not in (Outcome.CANCELLED, Outcome.REJECTED, Outcome.NOT_SENT):
             node.faults += ({Outcome.SUCCESS: 0.0, Outcome.CONNECTION_LOST: 0.5}.get(ending, 1.0) - node.faults) * 0.25
             # A node that fails often (a cut may be its link's) is set aside and probed, half of a build's at
             # most: more are the build, the load or this marshal's own view, and going round would hide it.
             if node.faults >= 0.4 and not node.aside and self.few_aside(node):
                 node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, 2 * node.hold))
                 self.groups.changed()
-                self.actions.append(StartTimer(self.now + node.hold, f"probe {node.entry.node}"))
+                self.actions.append(StartTimer(self.now + node.hold, EjectionTimer(node.entry.index)))
         if ending not in NEVER_RAN:
-            self.judge(node, build, w, ending, ended.took)
+            self.judge(node, build, w, ending, ended.duration)
 
     def few_aside(self, node: Node) -> bool:  # another of its build may be set aside
         mates = self.groups.some([node.entry.build])
@@ -436,11 +437,11 @@
                 node.aside, node.faults = False, 0.3
                 self.groups.changed()
             else:
-                self.actions.append(StartTimer(self.now + 0.5, f"probe {index}"))
+                self.actions.append(StartTimer(self.now + 0.5, EjectionTimer(index)))
 
     def judge(self, node: Node, build: int, w: int, ending: Outcome, took: float) -> None:
         broke, cut, trial = ending is Outcome.ERROR, ending is Outcome.CONNECTION_LOST, self.trial
-        own = pace, known = self.earlier_pace.get(key := (w, node.entry.kind), (0.0, 0))
+        own = pace, known = self.earlier_pace.get(key := (w, node.entry.machine_kind), (0.0, 0))
         pace, known = (self.usual[key][0], 20) if known < 20 and key in self.usual else (pace, known)
         if self.age(node) < 1.0 or (ending in (Outcome.TIMED_OUT, Outcome.CANCELLED) and took < 3 * pace):
             return  # just started, or given up too early to tell
@@ -491,7 +492,7 @@
             step *= min(1.0, 80 / max(1.0, self.fleet.rate))  # than a small one's, nor one queue's at a busy
         elif ratio == SequentialTest.LATE:  # node (over 8 a second, some are out together) than a calm one's
             step *= min(1.0, 8 / max(1.0, self.load()))
-        word = self.trial.count(ratio, step, node.entry.mark, self.random) if self.trial else None
+        word = self.trial.count(ratio, step, node.entry.name_hash, self.random) if self.trial else None
         for peer in self.fusers:
             self.tell(peer, word)
 
@@ -569,34 +570,34 @@
             for build in {build for _, _, build in lore.sent}:
                 rows = [(self.began - age, w) for age, w, each in lore.sent if each == build]
                 self.sent_to.setdefault(build, SlidingWindow()).put_before(rows)
-            self.taken.put_before((self.began - age, w) for age, w in lore.taken)
-        for index, told in lore.nodes.items():
+            self.taken.put_before((self.began - age, w) for age, w in lore.accepted)
+        for index, told in lore.endpoints.items():
             if (node := self.nodes.get(index)) and node.seen < 5:  # five endings outweigh any hearsay
-                node.slow, node.faults = told.slow, max(node.faults, told.faults)
+                node.slow, node.faults = told.latency_ratio, max(node.faults, told.failure_rate)
                 node.told_at, node.others = self.now, (told.cold_rate, self.now + 2.0)
-                if told.aside and not node.aside and self.few_aside(node):
-                    node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, told.hold))
-                    self.actions.append(StartTimer(self.now, f"probe {index}"))
+                if told.ejected and not node.aside and self.few_aside(node):
+                    node.aside, node.probes_answered, node.hold = True, 0, min(8.0, max(1.0, told.ejection_time))
+                    self.actions.append(StartTimer(self.now, EjectionTimer(index)))
                 self.groups.changed()
-        for own, told in ((self.pace, lore.pace), (self.earlier_pace, lore.earlier_pace)):
+        for own, told in ((self.pace, lore.latency), (self.earlier_pace, lore.baseline_latency)):
             for key, (took, seen) in told.items():
                 if (own.get(key, (0, 0)) if isinstance(own, dict) else own[key])[1] < seen:
                     own[key] = (took, seen)
-        for ratio, row in lore.past.items():
+        for ratio, row in lore.baseline_errors.items():
             self.past[ratio] = max(self.past[ratio], row, key=lambda each: each[1])
         self.longest = max(self.longest, *(pace for pace, _ in self.pace))
-        self.told_sums = [each for each in lore.sums if each[1].life != self.life][:4096]
+        self.told_sums = [each for each in lore.reports if each[1].life != self.life][:4096]
         self.recall()
 
     def recall(self) -> None:  # sums of lives that may be over: whole, so that hearing them again is nothing
         for marshal, totals in self.told_sums if self.trial else ():
             self.trial.hear(marshal, totals)
 
-    def on_word(self, word: Word) -> None:  # tallies are late, complaints few, some false: no evidence
-        self.actions += [StartTimer(self.now + 1.0, "follow")] if word is Plain.ROLL_FAILED else []
+    def on_watch_failed(self) -> None:
+        self.actions.append(StartTimer(self.now + 1.0, WatchTimer()))
 
     def beat(self) -> None:  # what only time changes
-        self.actions.append(StartTimer(self.now + BEAT, "beat"))
+        self.actions.append(StartTimer(self.now + BEAT, Tick()))
         window = self.settings.release.exposure_window
         for rows in (self.taken, *self.sent_to.values()):
             rows.forget(self.now - window - 0.1)
--- a/gatebank/events.py
+++ b/gatebank/events.py
@@ -10,12 +10,13 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from typing import NamedTuple
 
 from gatebank.peer_messages import InstanceReport
 
 
 class RetrySafety(Enum):
-    """May an invocation run again?"""
+    """Whether a request may run again; the values are those of earlier logs and captures."""
 
     IDEMPOTENT = "rerunnable"
     KEYED = "ticketed"
@@ -23,7 +24,7 @@
 
 
 class Outcome(Enum):
-    """How a shot or a probe ended."""
+    """How an attempt or a health check ended; the values are the names of the counts in log lines."""
 
     SUCCESS = "satisfied"
     ERROR = "error"
@@ -35,11 +36,11 @@
     NOT_SENT = "not sent"
 
 
-NEVER_RAN = (Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.NOT_SENT)  # a shot that ended so had no effect
+NEVER_RAN = (Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.NOT_SENT)  # such an attempt had no effect
 
 
 class Condition(Enum):
-    """What the node roll says of a node."""
+    """What the endpoint list says of an endpoint."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -47,7 +48,7 @@
 
 
 class Phase(IntEnum):
-    """Where the newest build stands at the release desk."""
+    """Where the newest build stands at the release service."""
 
     CANARY = 0
     ROLLING_BACK = 1
@@ -75,7 +76,7 @@
 
 
 class ReplyStatus(Enum):
-    """How the release desk's news came to be, or how it took a vote."""
+    """How the release service answered a vote; ``ACCEPTED`` also where it told its status by itself."""
 
     ACCEPTED = "counted"
     STALE = "moot"
@@ -86,11 +87,20 @@
 
 @dataclass(slots=True, frozen=True)
 class Endpoint:
-    """A line of the node roll; ``mark`` is a number that all marshals have for this node."""
-
-    node: int
-    mark: int
-    kind: int
+    """One line of the endpoint list.
+
+    Attributes:
+        index: the host's small number for this endpoint.
+        name_hash: 16 bits of its name, the same at all instances.
+        machine_kind, zone, cell, build: as listed; numbers in the settings' order.
+        started: when its process started, in the balancer's seconds; None: long ago.
+        condition: whether it may be sent to.
+        weight: its size beside others.
+    """
+
+    index: int
+    name_hash: int
+    machine_kind: int
     zone: int
     cell: int
     build: int
@@ -101,31 +111,56 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """An invocation as the client handed it over; ``left`` is when the client gives up, from now."""
+    """A request as its client handed it over.
+
+    Attributes:
+        number: the host's small number; used again only once the request is settled.
+        request_class, tenant: indices in the settings.
+        timeout: seconds from now until the client gives up.
+        cost_hint: expected work in seconds on a standard core, where known.
+        key: what the request is about; requests of one key may be sticky.
+        is_client_retry: the client marked it as a repetition.
+    """
 
     number: int
-    workload: int
-    customer: int
-    left: float
-    cost_guess: float | None = None
+    request_class: int
+    tenant: int
+    timeout: float
+    cost_hint: float | None = None
     key: int | None = None
-    repeated: bool = False
+    is_client_retry: bool = False
 
 
 @dataclass(slots=True, frozen=True)
 class AttemptResult:
-    """The ending of one shot; ``over`` tells that the invocation has its final answer."""
+    """How one attempt ended.
+
+    Attributes:
+        attempt: its number within the request, from 0.
+        outcome: how it ended.
+        duration: seconds since it was sent.
+        request_done: the request has its final answer, by this attempt or before.
+        load_report: values in the order of the settings' ``report_fields``.
+    """
 
-    shot: int
-    ending: Outcome
-    took: float
-    over: bool = False
-    report: Sequence[float] | None = None
+    attempt: int
+    outcome: Outcome
+    duration: float
+    request_done: bool = False
+    load_report: Sequence[float] | None = None
 
 
 @dataclass(slots=True, frozen=True)
 class ReleaseStatus:
-    """The release desk's word on the newest build; the last four are left out where the vote failed."""
+    """What the release service said of the newest build; the last five are missing where a vote failed.
+
+    Attributes:
+        reply: how a vote was answered.
+        is_vote_reply: False where the status was told unasked.
+        build, stage, phase: where the newest build stands.
+        cap: the share of requests that may be sent to the canary.
+        age: seconds since this state began.
+    """
 
     reply: ReplyStatus
     is_vote_reply: bool
@@ -137,66 +172,73 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Tally:
-    """What the release desk counted in a sample of all marshals' shots."""
+class InheritedEndpoint:
+    """What other instances know of an endpoint.
+
+    Attributes:
+        latency_ratio: its answer times over the usual ones.
+        failure_rate: share of its recent attempts that failed.
+        ejected: it must pass health checks before it is used.
+        ejection_time: seconds for which it was ejected last.
+        cold_rate: attempts a second that others send it while it warms up.
+    """
+
+    latency_ratio: float
+    failure_rate: float
+    ejected: bool
+    ejection_time: float
+    cold_rate: float
 
-    build: int
-    workload: int
-    shots: int
-    failed: int
-    mean_time: float
-    age: float
 
+class BaselineErrors(NamedTuple):
+    """Bad outcomes of the baseline build in one statistic: faded counts, and a fast moving rate."""
 
-@dataclass(slots=True, frozen=True)
-class Complaint:
-    """A client found an answer wrong; ``age`` is the time since its shot was sent."""
+    bad: float
+    total: float
+    recent_rate: float
 
-    node: int
-    workload: int
-    age: float
 
+class LatencyEstimate(NamedTuple):
+    """A moving mean of answer times in seconds, and from how many answers it was made."""
 
-@dataclass(slots=True, frozen=True)
-class AnswerBegun:
-    """A streamed answer has begun: the shot is its client's now."""
+    mean: float
+    samples: int
 
-    invocation: int
-    shot: int
 
+class SentRow(NamedTuple):
+    """An attempt of the exposure window that a former incarnation started."""
 
-@dataclass(slots=True, frozen=True)
-class InheritedEndpoint:
-    """Of a node, from others: its times over the usual ones, its share of faults, whether it must be probed
-    before it is used and how long it was set aside, and the shots a second that others send it cold."""
+    age: float
+    request_class: int
+    build: int
 
-    slow: float
-    faults: float
-    aside: bool
-    hold: float
-    cold_rate: float
+
+class AcceptedRow(NamedTuple):
+    """A request of the exposure window that a former incarnation accepted."""
+
+    age: float
+    request_class: int
 
 
 @dataclass(slots=True, frozen=True)
 class InheritedState:
-    """What others know, weighed (learning/weighing.py), in the front's indices. ``sums`` are whole sums of
-    (marshal, Totals); ``sent`` and ``taken`` this marshal's own rows of the last window, by age, and
-    ``window_known`` tells that they are all."""
-
-    nodes: Mapping[int, InheritedEndpoint]
-    sums: Sequence[tuple[int, InstanceReport]]
-    past: Mapping[int, tuple[float, float, float]]
-    pace: Mapping[int, tuple[float, int]]
-    earlier_pace: Mapping[tuple[int, int], tuple[float, int]]
-    sent: Sequence[tuple[float, int, int]]
-    taken: Sequence[tuple[float, int]]
+    """What others know, weighed by `gatebank.state_transfer`, in the host's indices.
+
+    Attributes:
+        endpoints: by endpoint index.
+        reports: whole sums of other incarnations, with the instance that made them.
+        baseline_errors: by statistic of the sequential test.
+        latency: by request class.
+        baseline_latency: by request class and machine kind.
+        sent, accepted: this instance's own rows of the last exposure window, aged from its start.
+        window_known: those rows are complete.
+    """
+
+    endpoints: Mapping[int, InheritedEndpoint]
+    reports: Sequence[tuple[int, InstanceReport]]
+    baseline_errors: Mapping[int, BaselineErrors]
+    latency: Mapping[int, LatencyEstimate]
+    baseline_latency: Mapping[tuple[int, int], LatencyEstimate]
+    sent: Sequence[SentRow]
+    accepted: Sequence[AcceptedRow]
     window_known: bool
-
-
-class Plain(Enum):
-    """Words that carry nothing more."""
-
-    ROLL_FAILED = "the node roll could not be followed"
-
-
-Word = Tally | Complaint | AnswerBegun | Plain
--- a/gatebank/peer_messages.py
+++ b/gatebank/peer_messages.py
@@ -100,7 +100,7 @@
 PeerMessage = LlrDelta | InstanceReport | FleetReport
 
 
-def mark(name: str) -> int:
+def name_hash(name: str) -> int:
     """The number that all marshals have for a node of this name."""
     return crc32(name.encode()) & 0xFFFF
 
--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -15,7 +15,7 @@
 import orjson
 
 from gatebank.events import Condition, Endpoint
-from gatebank.peer_messages import mark
+from gatebank.peer_messages import name_hash
 from gatebank.proxy.configuration import Address, ConfigurationError, address
 from gatebank.proxy.http import Caller, NoReplyError
 from gatebank.proxy.log import say
@@ -88,7 +88,7 @@
     def entry(self, name: str, where: Address | None, rest: tuple[Any, ...]) -> Endpoint:
         node = self.node(name)
         self.addresses[node] = where or self.addresses[node]
-        return Endpoint(node, mark(name), *rest)
+        return Endpoint(node, name_hash(name), *rest)
 
     def entries(self, listing: Mapping[str, Any]) -> tuple[list[Endpoint], bool, int]:
         """The entries, whether they are the whole list, and its version; ValueError if it can't be read, and
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -23,17 +23,16 @@
     SendToPeer,
     StartAttempt,
     StartTimer,
+    Timer,
     WatchEndpoints,
 )
 from gatebank.balancer import Balancer
 from gatebank.events import (
     AttemptResult,
-    Complaint,
     Condition,
     Endpoint,
     Outcome,
     Phase,
-    Plain,
     ReleaseStatus,
     ReplyStatus,
     Request,
@@ -209,7 +208,7 @@
 
     def tell_ended(self, held: RequestInFlight, ended: AttemptResult) -> None:
         held.out -= 1  # only now: until the marshal is told, the number must not be another's
-        over = AttemptResult(ended.shot, ended.ending, ended.took, held.answered, ended.report)
+        over = AttemptResult(ended.attempt, ended.outcome, ended.duration, held.answered, ended.load_report)
         try:
             self.marshal.on_attempt_result(held.number, over)
         finally:
@@ -218,14 +217,14 @@
     def rolled(self, entries: list[Endpoint], whole: bool) -> None:
         kept = {} if whole else dict(self.entries)
         for entry in entries:
-            kept[entry.node] = entry
+            kept[entry.index] = entry
         self.entries = {i: entry for i, entry in kept.items() if entry.condition is not Condition.GONE}
         self.turn(self.marshal.on_endpoint_list, entries, whole)
         self.nodes.keep({self.key(entry) for entry in self.entries.values()})
         self.register.keep(self.entries)
 
     def key(self, entry: Endpoint) -> Key:
-        return entry.node, self.register.addresses[entry.node], entry.build, entry.started
+        return entry.index, self.register.addresses[entry.index], entry.build, entry.started
 
     def told(self, news: ReleaseStatus) -> None:
         if news.reply is ReplyStatus.ACCEPTED:
@@ -235,17 +234,14 @@
         self.turn(self.marshal.on_release_status, news)
 
     def roll_failed(self) -> None:
-        self.turn(self.marshal.on_word, Plain.ROLL_FAILED)
-
-    def complained(self, complaint: Complaint) -> None:
-        self.turn(self.marshal.on_word, complaint)
+        self.turn(self.marshal.on_watch_failed)
 
     def heard(self, peer: int, word: PeerMessage) -> None:
         self.turn(self.marshal.on_peer_message, peer, word)
 
-    def wake(self, at: float, name: str) -> None:
+    def wake(self, at: float, timer: Timer) -> None:
         self.lag = max(self.lag, self.clock() - at)
-        self.turn(self.marshal.on_timer, name)
+        self.turn(self.marshal.on_timer, timer)
 
     def probed(self, node: int, ending: Outcome) -> None:
         self.turn(self.marshal.on_health_check_result, node, ending)
@@ -256,8 +252,8 @@
         match action:
             case StartAttempt(number, node, until):
                 self.shoot(self.held[number], node, until)
-            case StartTimer(at, name):
-                self.loop.call_later(max(0.0, at - self.clock()), self.wake, at, name)
+            case StartTimer(at, timer):
+                self.loop.call_later(max(0.0, at - self.clock()), self.wake, at, timer)
             case CancelAttempt(number, shot):
                 held = self.held.get(number)
                 if held and held.shots[shot]:
@@ -328,7 +324,7 @@
                 return None
             if late > now + AT_ONCE:
                 self.marshal.now = late
-                if not self.marshal.still(held.number, number):
+                if not self.marshal.may_start(held.number, number):
                     return None
             return held.asked.command(end - late)
 
--- a/gatebank/proxy/release_service.py
+++ b/gatebank/proxy/release_service.py
@@ -18,7 +18,7 @@
 from defusedxml.ElementTree import fromstring
 
 from gatebank.actions import CastVote
-from gatebank.events import Complaint, Phase, ReleaseStatus, ReplyStatus, Verdict
+from gatebank.events import Phase, ReleaseStatus, ReplyStatus, Verdict
 from gatebank.proxy.configuration import Address
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.http import Caller, NoReplyError
@@ -139,11 +139,10 @@
         patience: float,
         clock: Callable[[], float],
         told: Callable[[ReleaseStatus], None],
-        complained: Callable[[Complaint], None],
         workloads: dict[str, int],
     ) -> None:
         self.where, self.register, self.patience, self.clock = where, register, patience, clock
-        self.told, self.complained, self.workloads = told, complained, workloads
+        self.told, self.workloads = told, workloads
         self.latest: tuple[ReleaseStatus, float] | None = None  # the newest state and when it began
         self.votes: set[asyncio.Task[None]] = set()  # a row a vote in hand; each goes with its answer
 
@@ -215,12 +214,11 @@
         if name == "ROLLOUT":
             self.take(state(fields))
         elif name == "DISPUTE":
-            node = self.register.index.get(fields.get("host", ""))
-            workload, age = self.workloads.get(fields.get("type", "")), float(fields.get("lag_ms", 0)) / 1000
-            if node is None or workload is None:  # of a node that this marshal never knew, perhaps
+            # No evidence: few answers are disputed, and some of them by mistake.
+            float(fields.get("lag_ms", 0))
+            known_node = fields.get("host", "") in self.register.index
+            if not known_node or fields.get("type", "") not in self.workloads:
                 say("desk_unread", logging.WARNING, why="a dispute of nobody known")
-            elif 0 <= age < 1e9:
-                self.complained(Complaint(node, workload, age))
         else:
             say("desk_unknown", logging.WARNING, name=name)
 
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -214,7 +214,7 @@
     nodes = exchange.nodes = Nodes(settings, room // 2, bounds.buffers)
     clients = Clients(settings, exchange, room - room // 2, bounds)
     exchange.desk = desk = ReleaseService(
-        posting.desk, register, settings.release.vote_timeout, clock, exchange.told, exchange.complained,
+        posting.desk, register, settings.release.vote_timeout, clock, exchange.told,
         {name: index for name, (index, _) in clients.workloads.items()},
     )  # fmt: skip
     recorder = recorder_for(posting, operators)
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -52,7 +52,7 @@
 
     def rolled(self, entries: list[Endpoint], whole: bool) -> None:
         def serves(entry: Endpoint) -> bool:
-            return written(self.register.addresses[entry.node]) in self.live
+            return written(self.register.addresses[entry.index]) in self.live
 
         fit = [entry for entry in entries if not serves(entry)]
         if len(fit) < len(entries):
@@ -83,7 +83,7 @@
         kinds = {name: index for name, (index, _) in self.workloads.items()}
         patience = settings.release.vote_timeout
         self.desk = exchange.desk = ReleaseService(
-            posting.desk, register, patience, clock, exchange.told, exchange.complained, kinds
+            posting.desk, register, patience, clock, exchange.told, kinds
         )
         known, version, news = at_start(posting, register)
         exchange.start(known, news)
--- a/gatebank/simulator/__main__.py
+++ b/gatebank/simulator/__main__.py
@@ -8,29 +8,34 @@
 
 from gatebank.simulator.host import Host, WireError
 
+BROKEN_INPUT_STATUS = 2
+
 
 def main() -> int:
+    """Answer batches until the input ends; the exit status."""
     host = Host()
-    out = sys.stdout.buffer
+    output = sys.stdout.buffer
     for line in sys.stdin.buffer:
         if not line.strip():
             continue
         try:
             reply = host.answer(orjson.loads(line))
-        except orjson.JSONDecodeError as trouble:
-            return complain(f"a line is no JSON: {trouble}")
-        except WireError as trouble:
-            return complain(str(trouble))
-        except (KeyError, TypeError, ValueError, AttributeError) as trouble:
-            return complain(f"a broken batch: {type(trouble).__name__} {trouble}")
-        out.write(orjson.dumps(reply) + b"\n")
-        out.flush()
+        except orjson.JSONDecodeError as error:
+            return complain(f"a line is no JSON: {error}")
+        except WireError as error:
+            return complain(str(error))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            return complain(f"a broken batch: {type(error).__name__} {error}")
+        output.write(orjson.dumps(reply) + b"\n")
+        output.flush()
     return 0
 
 
-def complain(what: str) -> int:
-    print(f"gatebank.simulator: {what}".replace("\n", " "), file=sys.stderr)
-    return 2
+def complain(reason: str) -> int:
+    """Say on standard error, in one line, why the input can't be answered."""
+    line = f"gatebank.simulator: {reason}".replace("\n", " ")
+    print(line, file=sys.stderr)
+    return BROKEN_INPUT_STATUS
 
 
 if __name__ == "__main__":
--- a/gatebank/state.py
+++ b/gatebank/state.py
@@ -94,7 +94,7 @@
     wake: int = 0  # which wake it waits for
 
     def deadline(self) -> float:
-        return self.came + self.invocation.left
+        return self.came + self.invocation.timeout
 
     def may_have_run(self) -> list[tuple[Node, float]]:
         return [shot for shot, end in zip(self.shots, self.endings, strict=True) if end not in NEVER_RAN]
--- a/gatebank/state_transfer/balancer_state.py
+++ b/gatebank/state_transfer/balancer_state.py
@@ -11,7 +11,18 @@
 from typing import Any
 
 from gatebank.balancer import Balancer, SequentialTest
-from gatebank.events import Condition, InheritedEndpoint, InheritedState, Phase, ReleaseStatus, ReplyStatus
+from gatebank.events import (
+    AcceptedRow,
+    BaselineErrors,
+    Condition,
+    InheritedEndpoint,
+    InheritedState,
+    LatencyEstimate,
+    Phase,
+    ReleaseStatus,
+    ReplyStatus,
+    SentRow,
+)
 from gatebank.peer_messages import InstanceReport
 from gatebank.settings import Settings
 from gatebank.state import Node
@@ -137,7 +148,7 @@
     limit, sent = marshal.settings.slow_start.warm_up + 1.0, dict[tuple[str, int, float], int]()
     for node, _, _ in marshal.out.values():
         entry = node.entry
-        if entry.started and now - entry.started < limit and (name := names.nodes[entry.node]):
+        if entry.started and now - entry.started < limit and (name := names.nodes[entry.index]):
             key = name, entry.build, entry.started
             sent[key] = sent.get(key, 0) + 1
     for (node_name, build, started), many in sent.items():
@@ -237,14 +248,15 @@
         workloads = {name: number for number, name in enumerate(names.workloads)}
         kinds = {names.kind(number): number for number in range(len(names.kinds))}
         ratios = {names.ratio(number): number for number in range(len(marshal.past))}
-        pace, earlier = dict[int, tuple[float, int]](), dict[tuple[int, int], tuple[float, int]]()
+        pace = dict[int, LatencyEstimate]()
+        earlier = dict[tuple[int, int], LatencyEstimate]()
         for (workload, kind), known in belief.times.items():
             if workload not in workloads:
                 continue
             if not kind:
-                pace[workloads[workload]] = known
+                pace[workloads[workload]] = LatencyEstimate(*known)
             elif kind in kinds:
-                earlier[workloads[workload], kinds[kind]] = known
+                earlier[workloads[workload], kinds[kind]] = LatencyEstimate(*known)
         heard = []
         for item in belief.sums:
             if item.marshal < marshal.settings.instance_count:
@@ -255,22 +267,24 @@
         span = marshal.settings.release.exposure_window
         since = now - marshal.began  # rows of a former life lie before this one began
         return InheritedState(
-            nodes={
+            endpoints={
                 index[name]: InheritedEndpoint(each.slow, each.faults, each.aside, each.hold, each.cold_rate)
                 for name, each in belief.nodes.items()
                 if name in index
             },
-            sums=heard,
-            past={ratios[name]: row for name, row in belief.past.items() if name in ratios},
-            pace=pace,
-            earlier_pace=earlier,
+            reports=heard,
+            baseline_errors={
+                ratios[name]: BaselineErrors(*row) for name, row in belief.past.items() if name in ratios
+            },
+            latency=pace,
+            baseline_latency=earlier,
             sent=[
-                (each.age - since, workloads[each.workload], each.build)
+                SentRow(each.age - since, workloads[each.workload], each.build)
                 for each in belief.sent
                 if each.workload in workloads and 0 <= each.age - since <= span
             ],
-            taken=[
-                (each.age - since, workloads[each.workload])
+            accepted=[
+                AcceptedRow(each.age - since, workloads[each.workload])
                 for each in belief.took
                 if each.workload in workloads and 0 <= each.age - since <= span
             ],
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -221,7 +221,7 @@
         belief = self.taught.belief(now)
         lore = self.taught.lore(belief, now)
         if self.given:
-            lore = replace(lore, sent=(), taken=(), window_known=False)
+            lore = replace(lore, sent=(), accepted=(), window_known=False)
         self.given = self.given or lore.window_known
         self.exchange.turn(self.marshal.apply_inherited_state, lore)
         news = self.marshal.news
