--- /dev/null
+++ b/gatebank/core/load.py
@@ -0,0 +1,37 @@
+"""Load and silence, as this instance sees them."""
+
+from __future__ import annotations
+
+from gatebank.core.endpoint_state import EndpointState
+from gatebank.core.state import BalancerState
+
+
+def silence(state: BalancerState, endpoint: EndpointState) -> float:
+    """For how many usual times attempts have been outstanding with no result."""
+    if not endpoint.outstanding:
+        return 0.0
+    return (state.now - max(endpoint.silent_since, state.resumed_at)) / state.latencies.longest
+
+
+def outstanding_attempts(state: BalancerState, unresponsive_at: float) -> int:
+    """All but those that an unresponsive endpoint or a held-up class holds: they are no load.
+
+    Args:
+        state: of this instance.
+        unresponsive_at: the silence from which an endpoint counts as unresponsive.
+    """
+    return state.outstanding_by_endpoint.count(
+        state.fleet.held_up_classes, lambda endpoint: silence(state, endpoint) >= unresponsive_at
+    )
+
+
+def load_per_endpoint(state: BalancerState, unresponsive_at: float) -> float:
+    """First tries a second, of all instances, for each endpoint that answers."""
+    report = state.fleet.report
+    rate = report.request_rate if report else state.traffic.rate * state.settings.instance_count
+    groups = state.endpoints.groups
+    silent = state.outstanding_by_endpoint.count_silent(
+        lambda endpoint: silence(state, endpoint) >= unresponsive_at,
+        lambda endpoint: not endpoint.ejected and groups.contains(endpoint),
+    )
+    return rate / max(1, groups.healthy_count() - silent)
--- a/gatebank/peer_messages.py
+++ b/gatebank/peer_messages.py
@@ -1,184 +1,304 @@
-"""The words that marshals send each other, and their bytes. Encoding only: what is said is for the brain.
+"""The messages that instances send each other, and their bytes. Encoding only: policy/ says what is told.
 
-A step is one LLR's message of the design: sign and rounded size as one signed level, and the outcomes since
-the last. Totals are a sender's whole sums and what it does: first tries a second, shots out, and by workload,
-kind of machine and side (below) shots satisfied a second, the time they took and the time of those given up.
-Fleet is the same of all marshals together, with its sender's verdict on a build at a stage. ``life`` tells
-one start of a marshal from others.
+An `LlrDelta` is one LLR's message of the design: sign and rounded size as one signed level. An
+`InstanceReport` holds a sender's whole sums and its load; a `FleetReport` the load of all instances together,
+with its sender's verdict on a build at a stage.
 
->>> step = LlrDelta(life=7, build=42, stage=1, ratio=0, level=-3, seen=12, mark=513)
->>> decode(encode(step)) == step, len(encode(step))
+>>> delta = LlrDelta(incarnation=7, build=42, stage=1, statistic=0, level=-3, outcomes=12, endpoint_hash=513)
+>>> decode(encode(delta)) == delta, len(encode(delta))
 (True, 12)
->>> does = {(0, 1, ON_TRIAL): (8.5, 0.25, 0.0)}
->>> totals = InstanceReport(7, 42, 1, rate=12.5, out=3, done=does, sums={0: (-1.25, 40), 4: (0.5, 3)})
->>> decode(encode(FleetReport(360.0, 120.0, does, 42, 1, 3))), len(encode(totals))
-(FleetReport(rate=360.0, out=120.0, done={(0, 1, 1): (8.5, 0.25, 0.0)}, build=42, stage=1, verdict=3), 29)
->>> decode(encode(totals)) == totals, decode(encode(totals)[:-1]), decode(b"")
+>>> loads = {LoadKey(0, 1, CANARY): LoadSample(8.5, 0.25, 0.0)}
+>>> report = InstanceReport(7, 42, 1, 12.5, 3, loads, {0: LlrSum(-1.25, 40), 4: LlrSum(0.5, 3)})
+>>> decode(encode(FleetReport(360.0, 120.0, loads, 42, 1, 3))).request_rate, len(encode(report))
+(360.0, 29)
+>>> decode(encode(report)) == report, decode(encode(report)[:-1]), decode(b"")
 (True, None, None)
 """
 
 from __future__ import annotations
 
 import struct
+from collections.abc import Mapping
 from dataclasses import dataclass
 from itertools import chain, islice
+from typing import NamedTuple
 from zlib import crc32
 
-HEAD, STEP = struct.Struct("<BHHB"), struct.Struct("<BbHH")
-DOES, ROW, DONE, FLEET = (struct.Struct(form) for form in ("<eeB", "<BeH", "<BBeee", "<BffHBB"))
-IS_STEP, ARE_TOTALS, IS_FLEET = 1, 4, 6  # 2, 3, 5 were these without kind, side, verdict: dropped, counted
-MOST_VERDICT = 3
-MOST_BYTES, MOST = 256, 65000.0  # the largest number in two bytes
-EARLIER, ON_TRIAL, COLD = 0, 1, 2  # sides: an earlier build, the one on trial, any that started just now
-Done = dict[tuple[int, int, int], tuple[float, float, float]]  # by workload, kind and side
+_HEAD = struct.Struct("<BHHB")  # tag, incarnation, build, stage
+_DELTA = struct.Struct("<BbHH")  # statistic, level, outcomes, endpoint hash
+_REPORT_LOAD = struct.Struct("<eeB")  # request rate, outstanding attempts, rows of load
+_SUM = struct.Struct("<BeH")  # statistic, value, outcomes
+_LOAD = struct.Struct("<BBeee")  # request class, kind and side, the three figures of a sample
+_FLEET = struct.Struct("<BffHBB")  # tag, request rate, outstanding, build, stage, verdict
+
+# Tags 2, 3 and 5 were earlier forms without machine kind, side or verdict: they are dropped and counted.
+_DELTA_TAG = 1
+_REPORT_TAG = 4
+_FLEET_TAG = 6
+
+MAX_MESSAGE_BYTES = 256
+_MAX_LOAD_ROWS = 24  # that fit a message beside some sums
+_MAX_HALF_FLOAT = 65000.0  # the largest number in two bytes
+_MAX_VERDICT = 3
+_MAX_FIGURE = 1e6  # what no instance would send
+_MASK_16_BITS = 0xFFFF
+
+# Sides of a load row: endpoints of a baseline build, of the canary, of any that started just now.
+BASELINE = 0
+CANARY = 1
+WARMING_UP = 2
+
+
+class LoadKey(NamedTuple):
+    """What a row of load is of; indices in the settings, and a side."""
+
+    request_class: int
+    machine_kind: int
+    side: int
+
+
+class LoadSample(NamedTuple):
+    """Answers a second, the seconds they took, and the seconds of attempts that were given up."""
+
+    answers: float
+    answer_time: float
+    lost_time: float
+
+
+class LlrSum(NamedTuple):
+    """A sum of log-likelihood ratios, and from how many outcomes it was made."""
+
+    value: float
+    outcomes: int
+
+
+class UsualLatency(NamedTuple):
+    """Seconds an answer takes, without and with the time of attempts that were given up."""
+
+    per_answer: float
+    with_lost: float
+
+
+NO_LOAD = LoadSample(0.0, 0.0, 0.0)
+Loads = Mapping[LoadKey, LoadSample]
 
 
 @dataclass(slots=True, frozen=True)
 class LlrDelta:
-    life: int
-    build: int  # the last 16 bits of its number, as in the words below
+    """That one LLR moved by more than Δ.
+
+    Attributes:
+        incarnation: tells one start of an instance from others.
+        build: the last 16 bits of its number, as in the messages below.
+        stage: of the release.
+        statistic: which LLR.
+        level: sign and rounded size.
+        outcomes: how many came since the last message.
+        endpoint_hash: of the endpoint that tipped it.
+    """
+
+    incarnation: int
+    build: int
     stage: int
-    ratio: int
+    statistic: int
     level: int
-    seen: int
-    mark: int
+    outcomes: int
+    endpoint_hash: int
 
 
 @dataclass(slots=True, frozen=True)
 class InstanceReport:
-    life: int
+    """One instance's whole sums, by statistic, and its load: first tries a second, attempts outstanding."""
+
+    incarnation: int
     build: int
     stage: int
-    rate: float
-    out: float
-    done: Done
-    sums: dict[int, tuple[float, int]]
+    request_rate: float
+    outstanding: float
+    loads: Loads
+    sums: Mapping[int, LlrSum]
 
 
 @dataclass(slots=True, frozen=True)
 class FleetReport:
-    rate: float
-    out: float
-    done: Done
+    """The load of all instances together, and the sender's verdict (`events.Verdict`) on a build."""
+
+    request_rate: float
+    outstanding: float
+    loads: Loads
     build: int = 0
     stage: int = 0
-    verdict: int = 0  # interface.Verdict
+    verdict: int = 0
 
-    def by_workload(self, many: int) -> list[tuple[float, float]]:
-        """Answers a second and the time they took.
+    def by_request_class(self, count: int) -> list[LoadSample]:
+        """Load of each of so many request classes, over kinds and sides.
 
-        >>> FleetReport(9.0, 1.0, {(1, 0, 1): (2.0, 0.5, 3.0), (1, 1, 0): (1.0, 0.5, 0.0)}).by_workload(2)
-        [(0.0, 0.0), (3.0, 1.0)]
+        >>> loads = {LoadKey(1, 0, 1): LoadSample(2.0, 0.5, 3.0)}
+        >>> loads[LoadKey(1, 1, 0)] = LoadSample(1.0, 0.5, 0.0)
+        >>> FleetReport(9.0, 1.0, loads).by_request_class(2)[1]
+        LoadSample(answers=3.0, answer_time=1.0, lost_time=3.0)
         """
-        rows = [[row for (w, _, _), row in self.done.items() if w == each] for each in range(many)]
-        return [(sum((row[0] for row in each), 0.0), sum((row[1] for row in each), 0.0)) for each in rows]
-
-    def usual(self, least: float) -> dict[tuple[int, int], tuple[float, float]]:
-        """The earlier build's times by workload and kind, and with what is lost: nodes' time an answer. Where
-        it has fewer answers a second than ``least`` nothing is usual."""
-        rows = {key[:2]: row for key, row in self.done.items() if key[2] == EARLIER and row[0] >= least}
-        return {key: (row[1] / row[0], (row[1] + row[2]) / row[0]) for key, row in rows.items()}
-
-    def slowness(self, usual: dict[tuple[int, int], tuple[float, float]], least: float) -> float:
-        """The time an answer takes the build on trial over the usual one; 0 where too little is known
-        of either.
-
-        >>> here, there, cold = (0, 0, EARLIER), (0, 0, ON_TRIAL), (0, 0, COLD)
-        >>> rows = {here: (9.0, 1.8, 0.0), there: (4.0, 0.8, 0.8), cold: (4.0, 9.0, 0.0)}
+        rows = [
+            [row for key, row in self.loads.items() if key.request_class == each] for each in range(count)
+        ]
+        return [
+            LoadSample(*(sum(column, 0.0) for column in zip(NO_LOAD, *each, strict=True))) for each in rows
+        ]
+
+    def baseline_latency(self, minimum_answers: float) -> dict[tuple[int, int], UsualLatency]:
+        """The baseline's times by request class and kind; none where it has fewer answers a second."""
+        rows = {
+            key[:2]: row
+            for key, row in self.loads.items()
+            if key.side == BASELINE and row.answers >= minimum_answers
+        }
+        return {
+            key: UsualLatency(row.answer_time / row.answers, (row.answer_time + row.lost_time) / row.answers)
+            for key, row in rows.items()
+        }
+
+    def canary_slowness(
+        self, baseline: Mapping[tuple[int, int], UsualLatency], minimum_answers: float
+    ) -> float:
+        """The time an answer takes the canary over the baseline's; 0 where too little is known of either.
+
+        >>> rows = {
+        ...     LoadKey(0, 0, BASELINE): LoadSample(9.0, 1.8, 0.0),
+        ...     LoadKey(0, 0, CANARY): LoadSample(4.0, 0.8, 0.8),
+        ...     LoadKey(0, 0, WARMING_UP): LoadSample(4.0, 9.0, 0.0),
+        ... }
         >>> fleet = FleetReport(9.0, 1.0, rows)
-        >>> fleet.slowness(fleet.usual(1.0), 1.0), fleet.slowness({}, 1.0)
+        >>> fleet.canary_slowness(fleet.baseline_latency(1.0), 1.0), fleet.canary_slowness({}, 1.0)
         (2.0, 0.0)
         """
-        answers = took = due = 0.0
-        for (w, kind, side), row in self.done.items():
-            if side == ON_TRIAL and (w, kind) in usual:
-                answers, took = answers + row[0], took + row[1] + row[2]
-                due += row[0] * usual[w, kind][1]
-        return took / due if answers >= least and due > 0 else 0.0
+        answers = 0.0
+        taken = 0.0
+        expected = 0.0
+        for key, row in self.loads.items():
+            if key.side == CANARY and key[:2] in baseline:
+                answers += row.answers
+                taken = taken + row.answer_time + row.lost_time
+                expected += row.answers * baseline[key[:2]].with_lost
+        return taken / expected if answers >= minimum_answers and expected > 0 else 0.0
 
 
 PeerMessage = LlrDelta | InstanceReport | FleetReport
 
 
 def name_hash(name: str) -> int:
-    """The number that all marshals have for a node of this name."""
-    return crc32(name.encode()) & 0xFFFF
+    """The number that all instances have for an endpoint of this name."""
+    return crc32(name.encode()) & _MASK_16_BITS
 
 
-def together(rows: list[InstanceReport], verdict: int = 0) -> FleetReport:
-    """The sums of what each does, and a verdict on what the last judges.
+def merge_reports(reports: list[InstanceReport], verdict: int = 0) -> FleetReport:
+    """The sums of the loads, and a verdict on the build and stage of the last report.
 
-    >>> one, two = {(0, 0, 0): (2.0, 0.5, 0.0)}, {(0, 0, 0): (1.0, 1.5, 3.0)}
-    >>> together([InstanceReport(1, 0, 0, 2.0, 1, one, {}), InstanceReport(2, 7, 1, 1.0, 2, two, {})], 1)
-    FleetReport(rate=3.0, out=3, done={(0, 0, 0): (3.0, 2.0, 3.0)}, build=7, stage=1, verdict=1)
+    >>> one = {LoadKey(0, 0, 0): LoadSample(2.0, 0.5, 0.0)}
+    >>> two = {LoadKey(0, 0, 0): LoadSample(1.0, 1.5, 3.0)}
+    >>> reports = [InstanceReport(1, 0, 0, 2.0, 1, one, {}), InstanceReport(2, 7, 1, 1.0, 2, two, {})]
+    >>> merged = merge_reports(reports, 1)
+    >>> merged.request_rate, merged.outstanding, merged.loads[0, 0, 0].answer_time, merged.build
+    (3.0, 3, 2.0, 7)
     """
-    done: Done = {}
-    for row in rows:
-        for key, figures in row.done.items():
-            was = done.get(key, (0.0, 0.0, 0.0))
-            done[key] = (was[0] + figures[0], was[1] + figures[1], was[2] + figures[2])
-    rate, out = sum(row.rate for row in rows), sum(row.out for row in rows)
-    return FleetReport(rate, out, done, rows[-1].build, rows[-1].stage, verdict)
-
-
-def short(build: int) -> int:
-    """A build's number as words hold it.
-
-    >>> decode(encode(LlrDelta(7, 20261202, 0, 0, 1, 1, 1))).build == short(20261202)
+    loads: dict[LoadKey, LoadSample] = {}
+    for report in reports:
+        for key, row in report.loads.items():
+            total = loads.get(key, NO_LOAD)
+            loads[key] = LoadSample(
+                total.answers + row.answers,
+                total.answer_time + row.answer_time,
+                total.lost_time + row.lost_time,
+            )
+    rate = sum(report.request_rate for report in reports)
+    outstanding = sum(report.outstanding for report in reports)
+    return FleetReport(rate, outstanding, loads, reports[-1].build, reports[-1].stage, verdict)
+
+
+def short_build(build: int) -> int:
+    """A build's number as messages hold it.
+
+    >>> decode(encode(LlrDelta(7, 20261202, 0, 0, 1, 1, 1))).build == short_build(20261202)
     True
     """
-    return build & 0xFFFF
-
-
-def encode(word: PeerMessage) -> bytes:
-    if isinstance(word, LlrDelta):
-        head = HEAD.pack(IS_STEP, word.life, short(word.build), word.stage)
-        return head + STEP.pack(word.ratio, word.level, min(word.seen, 65535), word.mark)
-    rows = islice((row for row in word.done.items() if row[0][0] < 256 and row[0][1] < 64), 24)
-    done = b"".join(
-        DONE.pack(workload, 4 * kind + side, *(min(MOST, number) for number in each))
-        for (workload, kind, side), each in rows
+    return build & _MASK_16_BITS
+
+
+def encode(message: PeerMessage) -> bytes:
+    """The bytes of a message; figures that do not fit are cut, and so are rows beyond the size."""
+    if isinstance(message, LlrDelta):
+        head = _HEAD.pack(_DELTA_TAG, message.incarnation, short_build(message.build), message.stage)
+        outcomes = min(message.outcomes, _MASK_16_BITS)
+        return head + _DELTA.pack(message.statistic, message.level, outcomes, message.endpoint_hash)
+    loads = _encode_loads(message.loads)
+    if isinstance(message, FleetReport):
+        build = short_build(message.build)
+        rate = message.request_rate
+        head = _FLEET.pack(_FLEET_TAG, rate, message.outstanding, build, message.stage, message.verdict)
+        return head + loads
+    head = _HEAD.pack(_REPORT_TAG, message.incarnation, short_build(message.build), message.stage)
+    head += _REPORT_LOAD.pack(
+        min(_MAX_HALF_FLOAT, message.request_rate),
+        min(_MAX_HALF_FLOAT, message.outstanding),
+        len(loads) // _LOAD.size,
+    )
+    sums = [
+        _SUM.pack(statistic, max(-_MAX_HALF_FLOAT, min(_MAX_HALF_FLOAT, value)), min(outcomes, _MASK_16_BITS))
+        for statistic, (value, outcomes) in message.sums.items()
+    ]
+    fitting = (MAX_MESSAGE_BYTES - len(head + loads)) // _SUM.size
+    return head + loads + b"".join(sums[:fitting])
+
+
+def _encode_loads(loads: Loads) -> bytes:
+    encodable = (row for row in loads.items() if row[0][0] < 256 and row[0][1] < 64)
+    return b"".join(
+        _LOAD.pack(request_class, 4 * kind + side, *(min(_MAX_HALF_FLOAT, figure) for figure in sample))
+        for (request_class, kind, side), sample in islice(encodable, _MAX_LOAD_ROWS)
     )
-    if isinstance(word, FleetReport):
-        head = FLEET.pack(IS_FLEET, word.rate, word.out, short(word.build), word.stage, word.verdict)
-        return head + done
-    sums = [ROW.pack(r, max(-MOST, min(MOST, v)), min(seen, 65535)) for r, (v, seen) in word.sums.items()]
-    head = HEAD.pack(ARE_TOTALS, word.life, short(word.build), word.stage)
-    does = DOES.pack(min(MOST, word.rate), min(MOST, word.out), len(done) // DONE.size)
-    room = (MOST_BYTES - len(head + does + done)) // ROW.size
-    return head + does + done + b"".join(sums[:room])
 
 
 def decode(data: bytes) -> PeerMessage | None:
-    """The word, or None where the bytes are malformed or hold what no marshal would send."""
+    """The message, or None where the bytes are malformed or hold what no instance would send."""
     try:
-        if data[:1] == bytes((IS_FLEET,)):
-            _, rate, out, build, stage, verdict = FLEET.unpack_from(data)
-            done = unpacked(data[FLEET.size :])
-            fits = verdict <= MOST_VERDICT and sound(rate, out, *chain(*done.values()))
-            return FleetReport(rate, out, done, build, stage, verdict) if fits else None
-        tag, life, build, stage = HEAD.unpack_from(data)
-        if tag == IS_STEP:
-            ratio, level, seen, mark = STEP.unpack(data[HEAD.size :])
-            return LlrDelta(life, build, stage, ratio, level, seen, mark) if level else None
-        if tag != ARE_TOTALS:
-            return None
-        rate, out, many = DOES.unpack_from(data, HEAD.size)
-        rest = data[HEAD.size + DOES.size :]
-        done = unpacked(rest[: many * DONE.size])
-        rows = list(ROW.iter_unpack(rest[many * DONE.size :]))
+        if data[:1] == bytes((_FLEET_TAG,)):
+            return _decode_fleet_report(data)
+        tag, incarnation, build, stage = _HEAD.unpack_from(data)
+        body = data[_HEAD.size :]
+        if tag == _DELTA_TAG:
+            statistic, level, outcomes, endpoint_hash = _DELTA.unpack(body)
+            delta = LlrDelta(incarnation, build, stage, statistic, level, outcomes, endpoint_hash)
+            return delta if level else None
+        return _decode_instance_report(incarnation, build, stage, body) if tag == _REPORT_TAG else None
     except struct.error:
         return None
-    if not sound(rate, out, *chain(*done.values()), *(abs(value) for _, value, _ in rows)):
+
+
+def _decode_fleet_report(data: bytes) -> FleetReport | None:
+    _, rate, outstanding, build, stage, verdict = _FLEET.unpack_from(data)
+    loads = _decode_loads(data[_FLEET.size :])
+    if verdict > _MAX_VERDICT or not _all_plausible(rate, outstanding, *chain(*loads.values())):
         return None
-    return InstanceReport(
-        life, build, stage, rate, out, done, {ratio: (value, seen) for ratio, value, seen in rows}
-    )
+    return FleetReport(rate, outstanding, loads, build, stage, verdict)
+
+
+def _decode_instance_report(incarnation: int, build: int, stage: int, body: bytes) -> InstanceReport | None:
+    rate, outstanding, row_count = _REPORT_LOAD.unpack_from(body)
+    rest = body[_REPORT_LOAD.size :]
+    loads = _decode_loads(rest[: row_count * _LOAD.size])
+    rows = list(_SUM.iter_unpack(rest[row_count * _LOAD.size :]))
+    sizes = (abs(value) for _, value, _ in rows)
+    if not _all_plausible(rate, outstanding, *chain(*loads.values()), *sizes):
+        return None
+    sums = {statistic: LlrSum(value, outcomes) for statistic, value, outcomes in rows}
+    return InstanceReport(incarnation, build, stage, rate, outstanding, loads, sums)
 
 
-def unpacked(data: bytes) -> Done:
-    return {(w, side >> 2, side & 3): tuple(row) for w, side, *row in DONE.iter_unpack(data)}
+def _decode_loads(data: bytes) -> dict[LoadKey, LoadSample]:
+    return {
+        LoadKey(request_class, kind_and_side >> 2, kind_and_side & 3): LoadSample(*figures)
+        for request_class, kind_and_side, *figures in _LOAD.iter_unpack(data)
+    }
 
 
-def sound(*numbers: float) -> bool:
-    return all(0 <= number < 1e6 for number in numbers)
+def _all_plausible(*figures: float) -> bool:
+    return all(0 <= figure < _MAX_FIGURE for figure in figures)
--- /dev/null
+++ b/gatebank/policy/evidence.py
@@ -0,0 +1,152 @@
+"""What an attempt's result says of builds: which LLRs it moves, and by how much."""
+
+from gatebank.core.latency import UNKNOWN, LatencyKey
+from gatebank.core.llr_sums import Statistic
+from gatebank.core.load import load_per_endpoint
+from gatebank.core.measurement import (
+    GIVEN_UP,
+    count_baseline,
+    learn_baseline_latency,
+    learn_drift,
+    median_ratios,
+)
+from gatebank.core.request_state import AttemptRecord
+from gatebank.core.state import BalancerState
+from gatebank.events import AttemptResult, LatencyEstimate, Outcome, Phase
+from gatebank.peer_messages import LlrDelta
+from gatebank.policy.outlier import EJECT_AT, UNRESPONSIVE_AT
+from gatebank.policy.sequential_test import SequentialTest, llr_step, odds_of
+from gatebank.policy.slow_start import is_warm
+
+SETTLING_S = 1.0  # after its start nothing an endpoint does is judged
+KNOWN_SAMPLES = 20  # answers or outcomes from which a mean is known
+LATE_FACTOR = 3  # usual times: an answer is late beside the baseline
+LATE_EVERYWHERE_FACTOR = 2.5  # times before this canary came
+SLOWER_CANARY = 1.2  # the middle endpoint of the canary over the baseline's
+QUICKER_CANARY = 0.7  # beyond chance: what slows the baseline alone is no fault of the canary
+DRIFT = 1.3  # of the middle endpoint of all: no neighbour, pause or queue
+BUSIER = 1.35  # load over that before the canary came, from where lateness is no sign
+DRIFT_WEIGHT = 0.15
+BASELINE_LATENCY_WEIGHT = 0.02
+FADE = 0.99  # of the baseline's counts, with each outcome
+RECENT_WEIGHT = 0.1  # of an outcome in the baseline's recent rate
+MIN_OUTCOMES = 5  # of the canary at this instance
+MIN_OUTCOMES_OF_ALL = 25  # where many instances share them
+MIN_P0 = 0.01
+MAX_P0 = 0.2
+MAX_RECENT_P0 = 0.6
+# Answers of a fleet are late together, and so are those behind one pause of a busy endpoint: they are no more
+# evidence than those of a fleet with so many requests a second, or of an endpoint with so many.
+INDEPENDENT_FLEET_RATE = 80
+INDEPENDENT_ENDPOINT_RATE = 8
+
+
+def judge(state: BalancerState, attempt: AttemptRecord, result: AttemptResult) -> list[LlrDelta] | None:
+    """Take a result into the baseline's figures or the canary's LLRs.
+
+    Returns:
+        What is to be told to the fusers; None where the result says nothing of builds.
+    """
+    usual = _usual_latency(state, attempt.latency_key)
+    late = result.duration > LATE_FACTOR * usual.mean
+    given_up_early = result.outcome in GIVEN_UP and result.duration < LATE_FACTOR * usual.mean
+    if state.age(attempt.endpoint) < SETTLING_S or given_up_early:
+        return None
+    in_trial = state.release is not None and state.release.phase is Phase.CANARY
+    of_baseline = state.test is None or attempt.build < state.test.build
+    # An endpoint that warms up is late whatever it runs, and an instance that stood still knows no times.
+    timed = is_warm(state, attempt.endpoint) and state.now - result.duration >= state.resumed_at
+    compared = in_trial and timed and _shows_time(state, attempt, result)
+    deltas: list[LlrDelta | None] = []
+    slower = False
+    if state.test and compared:
+        canary, baseline = _middle_ratios(state, state.test)
+        slower = usual.samples >= KNOWN_SAMPLES and canary > SLOWER_CANARY * baseline
+        if _drift_is_known(state, state.test, attempt, result):
+            late_drift = _late_by_drift(state, attempt, result, canary > QUICKER_CANARY * baseline)
+            deltas.append(_move(state, state.test, Statistic.LATE_EVERYWHERE, attempt, late_drift))
+    if result.outcome is Outcome.SUCCESS and timed and (of_baseline or not in_trial):
+        learn_baseline_latency(state, attempt.latency_key, result.duration, BASELINE_LATENCY_WEIGHT)
+    if of_baseline or not (in_trial or state.canary_seen):
+        _count_baseline(state, attempt, result, late and usual.mean > 0)
+    elif state.test and attempt.build == state.test.build:
+        outcomes = _error_statistics(attempt, result)
+        deltas += [_move(state, state.test, statistic, attempt, bad) for statistic, bad in outcomes]
+        if compared and usual.samples >= KNOWN_SAMPLES:
+            deltas.append(_move(state, state.test, Statistic.LATE, attempt, late and slower))
+    return [delta for delta in deltas if delta]
+
+
+def _usual_latency(state: BalancerState, key: LatencyKey) -> LatencyEstimate:
+    own = state.latencies.baseline.get(key, UNKNOWN)
+    if own.samples < KNOWN_SAMPLES and key in state.fleet.baseline_latency:
+        return LatencyEstimate(state.fleet.baseline_latency[key].per_answer, KNOWN_SAMPLES)
+    return own
+
+
+def _shows_time(state: BalancerState, attempt: AttemptRecord, result: AttemptResult) -> bool:
+    broken = result.outcome in (Outcome.ERROR, Outcome.CONNECTION_LOST)
+    return not broken and attempt.request_class not in state.fleet.held_up_classes
+
+
+def _middle_ratios(state: BalancerState, test: SequentialTest) -> tuple[float, float]:
+    """How slow the middle endpoints of canary and baseline are; where traffic is thin, the fleet's."""
+    slowness = state.fleet.canary_slowness
+    return (slowness, 1.0) if slowness else median_ratios(state, test.build)
+
+
+def _drift_is_known(
+    state: BalancerState, test: SequentialTest, attempt: AttemptRecord, result: AttemptResult
+) -> bool:
+    """Whether an answer can be held against the time before the canary came; silence is not slowness."""
+    needed = min(MIN_OUTCOMES, MIN_OUTCOMES_OF_ALL / state.settings.instance_count)
+    met = test.sums.own[Statistic.ERRORS].outcomes >= needed
+    before = state.latencies.before_canary.get(attempt.latency_key, UNKNOWN).mean
+    return met and result.outcome is Outcome.SUCCESS and before > 0
+
+
+def _late_by_drift(
+    state: BalancerState, attempt: AttemptRecord, result: AttemptResult, no_quicker: bool
+) -> bool:
+    """Late, with no more traffic than before: a build may slow all, and has no contrast beside it then."""
+    before = state.latencies.before_canary[attempt.latency_key].mean
+    drift = learn_drift(state, attempt.endpoint, result.duration / before, DRIFT_WEIGHT)
+    if drift <= DRIFT or not no_quicker:
+        return False
+    calm = load_per_endpoint(state, UNRESPONSIVE_AT) < BUSIER * state.latencies.load_before_canary
+    return calm and result.duration > LATE_EVERYWHERE_FACTOR * before
+
+
+def _error_statistics(attempt: AttemptRecord, result: AttemptResult) -> tuple[tuple[int, bool], ...]:
+    error = result.outcome is Outcome.ERROR
+    lost = result.outcome is Outcome.CONNECTION_LOST
+    of_class = Statistic.FIRST_CLASS + attempt.request_class
+    return (Statistic.ERRORS, error), (Statistic.CONNECTIONS_LOST, lost), (of_class, error)
+
+
+def _count_baseline(state: BalancerState, attempt: AttemptRecord, result: AttemptResult, late: bool) -> None:
+    """What fails here too from now on is no fault of the canary; at failing endpoints it might hide it."""
+    outcomes = (*_error_statistics(attempt, result), (Statistic.LATE, late))
+    healthy = attempt.endpoint.failure_rate < EJECT_AT
+    count_baseline(state.baseline_errors, outcomes, healthy, FADE, RECENT_WEIGHT)
+
+
+def _move(
+    state: BalancerState, test: SequentialTest, statistic: int, attempt: AttemptRecord, bad: bool
+) -> LlrDelta | None:
+    """Count one outcome in one LLR; past Δ, what to tell the fusers."""
+    step = llr_step(statistic, bad, _p0(state, statistic))
+    if statistic == Statistic.LATE_EVERYWHERE and state.fleet.report:
+        step *= min(1.0, INDEPENDENT_FLEET_RATE / max(1.0, state.fleet.report.request_rate))
+    elif statistic == Statistic.LATE:
+        step *= min(1.0, INDEPENDENT_ENDPOINT_RATE / max(1.0, load_per_endpoint(state, UNRESPONSIVE_AT)))
+    return test.sums.count_outcome(statistic, step, attempt.endpoint.listed.name_hash, state.random)
+
+
+def _p0(state: BalancerState, statistic: int) -> float:
+    """The baseline's share of bad outcomes; of errors at least its recent one."""
+    late = statistic in (Statistic.LATE, Statistic.LATE_EVERYWHERE)
+    row = state.baseline_errors[Statistic.LATE if late else statistic]
+    share = row.bad / row.total if row.total >= KNOWN_SAMPLES else odds_of(statistic).unknown_p0
+    p0 = min(MAX_P0, max(MIN_P0, share))
+    return p0 if late else max(p0, min(MAX_RECENT_P0, row.recent_rate))
--- /dev/null
+++ b/gatebank/policy/sequential_test.py
@@ -0,0 +1,68 @@
+"""The design's sequential probability ratio test (SPRT) of one build at one stage: thresholds and verdict."""
+
+from math import log
+
+from gatebank.core.llr_sums import LlrSums, Odds, Quantization, Statistic
+from gatebank.events import Phase, ReleaseStatus, Verdict
+
+UPPER = log(1 / 0.005)  # A: log(1/α); a wrong rollback is for good
+LOWER = log(1 / 0.25)  # B: log(1/β); what passes wrongly can still be rolled back at a later stage
+QUANTIZATION = Quantization(1.0, 0.25, 16)  # Δ is the design's; 16 levels span one outcome's largest jump
+MINIMUM_OUTCOMES = 10  # the design's
+FALLBACK_S = 5.0  # the design's: promoted after that, if nothing speaks against it
+# Failing 4% is just over the line; late twice as often as the 5% of exponential times over three usual ones
+# too. One class's errors are many or none.
+ODDS = (Odds(3, 0.06, 0.01), Odds(5, 0.03, 0.05), Odds(3, 0.03, 0.05), Odds(3, 0.2, 0.01), Odds(3, 0.2, 0.01))
+CLUMPED = (Statistic.LATE, Statistic.CONNECTIONS_LOST)  # come in clumps, so that their floor is lower
+
+
+def odds_of(statistic: int) -> Odds:
+    """The odds of a statistic."""
+    return ODDS[min(statistic, Statistic.FIRST_CLASS)]
+
+
+def llr_step(statistic: int, bad: bool, p0: float) -> float:
+    """What one outcome adds to a statistic's LLR, where the baseline's share of bad ones is p0."""
+    factor, extra, _ = odds_of(statistic)
+    p1 = min(0.95, factor * p0 + extra)
+    return log(p1 / p0) if bad else log((1 - p1) / (1 - p0))
+
+
+class SequentialTest:
+    """The test of one build; ``passed`` once it may be promoted."""
+
+    def __init__(self, release: ReleaseStatus, statistic_count: int, incarnation: int) -> None:
+        self.build = release.build or 0
+        self.released = release.phase is Phase.RELEASED
+        stage = (release.stage or 0) + self.released
+        floors = [-(UPPER if self.released or r in CLUMPED else LOWER) for r in range(statistic_count)]
+        self.sums = LlrSums(self.build, stage, incarnation, floors, QUANTIZATION)
+        self.judged_since = 0.0  # when the first outcome came
+        self.passed = False
+
+    def verdict(self, now: float, endpoint_count: int, warm_count: int) -> Verdict:
+        """Roll back at A; promote at -B or by the fallback."""
+        sums = self.sums
+        adjusted = [self._adjusted(r, endpoint_count, warm_count) for r in range(len(sums.fused))]
+        self.judged_since = self.judged_since or (now if sums.outcomes else 0.0)
+        if max(adjusted) >= UPPER:
+            return Verdict.ROLL_BACK
+        adjusted[Statistic.LATE] -= UPPER / 4
+        if self.released or sums.outcomes < MINIMUM_OUTCOMES or max(adjusted) >= UPPER / 2:
+            return Verdict.NONE
+        waited = now - self.judged_since >= FALLBACK_S
+        self.passed = self.passed or sums.fused[Statistic.ERRORS] <= -LOWER or waited
+        return Verdict.PROMOTE if self.passed else Verdict.NONE
+
+    def _adjusted(self, statistic: int, endpoint_count: int, warm_count: int) -> float:
+        """A sum without what sick machines raised: they are no bad build. The worst third (of the warm, for
+        late answers) counts A/3 over the rest at most, two late ones of few A. Harmful if few fail."""
+        total = self.sums.fused[statistic]
+        if total < UPPER / 2 or statistic == Statistic.LATE_EVERYWHERE:
+            return total
+        late = statistic == Statistic.LATE
+        third = ((warm_count if late else endpoint_count) + 1) // 3 * (endpoint_count > 1)
+        worst = max(third, 2 * late)
+        evidence = sorted(self.sums.evidence[statistic].values(), reverse=True)
+        excess = sum(evidence[:worst]) - sum(evidence[worst:]) - UPPER / 3
+        return total - max(0.0, excess if worst == third else min(UPPER, excess))
--- a/gatebank/proxy/peer_transport.py
+++ b/gatebank/proxy/peer_transport.py
@@ -30,7 +30,7 @@
         self.numbers = {where: number for number, where in enumerate(marshals)}
         self.told = self.taken = self.dropped = 0  # datagrams since the start
         self.loop = asyncio.get_running_loop()
-        self.room = bytearray(peer_messages.MOST_BYTES + 1)  # one more shows what is too long
+        self.room = bytearray(peer_messages.MAX_MESSAGE_BYTES + 1)  # one more shows what is too long
         self.sock = opened(listen, socket.SOCK_DGRAM)
         try:
             self.sock.bind(listen)
@@ -47,7 +47,7 @@
             targets = [self.to_all]
         else:
             targets = [where for number, where in enumerate(self.marshals) if number != self.me]
-        for where in targets if len(data) <= peer_messages.MOST_BYTES else ():
+        for where in targets if len(data) <= peer_messages.MAX_MESSAGE_BYTES else ():
             try:
                 self.told += 1
                 self.sock.sendto(data, where)
@@ -63,7 +63,8 @@
             except OSError:  # an earlier datagram was refused somewhere
                 continue
             number = self.numbers.get(sender[:2])
-            word = peer_messages.decode(bytes(self.room[:size])) if size <= peer_messages.MOST_BYTES else None
+            fits = size <= peer_messages.MAX_MESSAGE_BYTES
+            word = peer_messages.decode(bytes(self.room[:size])) if fits else None
             if number is None or word is None:
                 self.dropped += 1
             elif number != self.me:
--- a/gatebank/state_transfer/balancer_state.py
+++ b/gatebank/state_transfer/balancer_state.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gatebank.balancer import Balancer, SequentialTest
+from gatebank.balancer import Balancer
+from gatebank.core.endpoint_state import EndpointState
+from gatebank.core.llr_sums import Statistic
 from gatebank.events import (
     AcceptedRow,
     BaselineErrors,
@@ -23,9 +25,8 @@
     ReplyStatus,
     SentRow,
 )
-from gatebank.peer_messages import InstanceReport
+from gatebank.peer_messages import InstanceReport, LlrSum
 from gatebank.settings import Settings
-from gatebank.state import Node
 from gatebank.state_transfer.items import (
     Cold,
     Health,
@@ -45,10 +46,10 @@
 SLICE = 256  # nodes told of in one turn: about a millisecond
 OWN = 5  # endings of a node behind which hearsay on it is no longer told on
 RATIOS = {
-    0: "broke",
-    SequentialTest.LATE: "late",
-    SequentialTest.EVERYWHERE: "everywhere",
-    SequentialTest.CUT: "cut",
+    Statistic.ERRORS: "broke",
+    Statistic.LATE: "late",
+    Statistic.LATE_EVERYWHERE: "everywhere",
+    Statistic.CONNECTIONS_LOST: "cut",
 }
 
 
@@ -64,7 +65,7 @@
         return str(self.kinds[index]) if 0 <= index < len(self.kinds) else f"#{index}"
 
     def ratio(self, index: int) -> str:
-        return RATIOS.get(index) or f"errors:{self.workloads[index - SequentialTest.FIRST]}"
+        return RATIOS.get(index) or f"errors:{self.workloads[index - Statistic.FIRST_CLASS]}"
 
 
 @dataclass
@@ -107,9 +108,13 @@
     """All that a marshal called ``name`` knows at ``now`` (the brain's clock), the most valuable first, in
     slices that each take a turn of the loop or less: time may pass between them. ``single``: the window's
     single shots and invocations too."""
-    mine = {"by": name, "life": marshal.life if life is None else life}
-    rows = [(index, node) for index, node in marshal.nodes.items() if node.seen and names.nodes[index]]
-    seen = {names.nodes[index] for index, node in rows if node.seen >= OWN}
+    mine = {"by": name, "life": marshal.state.incarnation if life is None else life}
+    rows = [
+        (index, node)
+        for index, node in marshal.state.endpoints.by_index.items()
+        if node.results and names.nodes[index]
+    ]
+    seen = {names.nodes[index] for index, node in rows if node.results >= OWN}
     # A former life's single rows are of use to nobody but a later start of that name, from its own snapshot.
     passed = [
         item
@@ -120,14 +125,14 @@
     yield [
         *word(marshal, mine),
         *cold(marshal, names, mine, now),
-        *(health(node, names.nodes[index] or "", mine, now) for index, node in rows if node.aside),
+        *(health(node, names.nodes[index] or "", mine, now) for index, node in rows if node.ejected),
         *urgent,
         *sums(marshal, mine),
         *usual(marshal, names, mine),
     ]
     if single:
         yield list(window(marshal, names, mine, now))
-    well = [row for row in rows if not row[1].aside]
+    well = [row for row in rows if not row[1].ejected]
     for at in range(0, len(well), SLICE):
         yield [health(node, names.nodes[index] or "", mine, now) for index, node in well[at : at + SLICE]]
     rest = [item for item in passed if item not in urgent] if urgent else passed
@@ -136,7 +141,7 @@
 
 
 def word(marshal: Balancer, mine: Mapping[str, Any]) -> Iterator[Known]:
-    news = marshal.news
+    news = marshal.state.release
     if news and None not in (news.build, news.stage, news.phase):
         cap = None if news.cap is None else min(1.0, max(0.0, news.cap))
         place = {"build": news.build, "stage": news.stage, "phase": int(news.phase or 0)}
@@ -145,65 +150,69 @@
 
 def cold(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
     """What this marshal sends nodes that have just started: its shots out over the time that they take."""
-    limit, sent = marshal.settings.slow_start.warm_up + 1.0, dict[tuple[str, int, float], int]()
-    for node, _, _ in marshal.out.values():
-        entry = node.entry
+    state = marshal.state
+    limit, sent = state.settings.slow_start.warm_up + 1.0, dict[tuple[str, int, float], int]()
+    for attempt in state.outstanding.values():
+        entry = attempt.endpoint.listed
         if entry.started and now - entry.started < limit and (name := names.nodes[entry.index]):
             key = name, entry.build, entry.started
             sent[key] = sent.get(key, 0) + 1
     for (node_name, build, started), many in sent.items():
-        rate = min(1e6, many / max(0.1, marshal.longest))
+        rate = min(1e6, many / max(0.1, state.latencies.longest))
         place = {"node": node_name, "build": build, "started": started}
         yield Cold(**mine, age=0.0, seen=many, rate=rate, **place)
 
 
-def health(node: Node, name: str, mine: Mapping[str, Any], now: float) -> Known:
-    entry = node.entry
+def health(node: EndpointState, name: str, mine: Mapping[str, Any], now: float) -> Known:
+    entry = node.listed
     return Health(
         **mine,
-        age=max(0.0, now - node.told_at),
-        seen=node.seen,
+        age=max(0.0, now - node.last_result_at),
+        seen=node.results,
         node=name,
         build=entry.build,
         started=entry.started,
-        slow=min(1e4, max(0.0, node.slow)),
-        faults=min(1.0, max(0.0, node.faults)),
-        aside=node.aside,
-        hold=node.hold,
+        slow=min(1e4, max(0.0, node.latency_ratio)),
+        faults=min(1.0, max(0.0, node.failure_rate)),
+        aside=node.ejected,
+        hold=node.ejection_time,
     )
 
 
 def usual(marshal: Balancer, names: Names, mine: Mapping[str, Any]) -> Iterator[Known]:
     """What the earlier build does: its failures, and its times."""
-    for index, (bad, many, lately) in enumerate(marshal.past):
+    for index, (bad, many, lately) in enumerate(marshal.state.baseline_errors):
         if many:
             row = {"bad": bad, "all": many, "lately": min(1.0, max(0.0, lately))}
             yield Past(**mine, age=0.0, seen=int(many), ratio=names.ratio(index), **row)
-    for w, (pace, many) in enumerate(marshal.pace):
+    for w, (pace, many) in enumerate(marshal.state.latencies.by_class):
         if many:
             yield Times(**mine, age=0.0, seen=many, workload=names.workloads[w], pace=pace)
-    for (w, kind), (pace, many) in marshal.earlier_pace.items():
+    for (w, kind), (pace, many) in marshal.state.latencies.baseline.items():
         row = {"workload": names.workloads[w], "kind": names.kind(kind), "pace": pace}
         yield Times(**mine, age=0.0, seen=many, **row)
 
 
 def window(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
     """Single shots at each build, and invocations taken, of the last exposure window."""
-    since = now - marshal.settings.release.exposure_window
-    shots = [(at, w, build) for build, rows in marshal.sent_to.items() for at, w in rows if at >= since]
+    since = now - marshal.state.settings.release.exposure_window
+    shots = [
+        (at, w, build) for build, rows in marshal.state.traffic.sent.items() for at, w in rows if at >= since
+    ]
     for at, w, build in sorted(shots)[-MOST_ROWS:]:
         yield Sent(**mine, age=max(0.0, now - at), seen=1, build=build, workload=names.workloads[w])
-    for at, w in [row for row in marshal.taken if row[0] >= since][-MOST_ROWS:]:
+    for at, w in [row for row in marshal.state.traffic.accepted if row[0] >= since][-MOST_ROWS:]:
         yield Took(**mine, age=max(0.0, now - at), seen=1, workload=names.workloads[w])
 
 
 def sums(marshal: Balancer, mine: Mapping[str, Any]) -> list[Known]:
     """The design's sums of the trial at hand: this marshal's own, and what it heard of others' lives."""
-    trial = marshal.trial
+    trial = marshal.state.test
     if trial is None:
         return []
-    place = {"build": trial.build, "stage": trial.stage, "age": 0.0}
-    rows = {(marshal.me, marshal.life): {r: s for r, s in enumerate(trial.own) if s[1]}, **trial.heard}
+    place = {"build": trial.build, "stage": trial.sums.stage, "age": 0.0}
+    own = {r: each for r, each in enumerate(trial.sums.own) if each.outcomes}
+    rows = {(marshal.state.settings.instance, marshal.state.incarnation): own, **trial.sums.by_peer}
     found: list[Known] = []
     for (peer, life), ratios in rows.items():
         if ratios:
@@ -220,7 +229,7 @@
         self, marshal: Balancer, names: Names, name: str, lives: HalfLives, life: int | None = None
     ) -> None:
         self.marshal, self.names, self.name, self.lives = marshal, names, name, lives
-        self.life = marshal.life if life is None else life
+        self.life = marshal.state.incarnation if life is None else life
         self.learnt = Learnt()
         self.window_known = False  # an orderly end's snapshot of this name holds the whole last window
 
@@ -233,10 +242,10 @@
 
     def belief(self, now: float) -> Belief:
         processes: dict[str, Process] = {}
-        for index, node in self.marshal.nodes.items():
-            if node.entry.condition is Condition.READY and (name := self.names.nodes[index]) is not None:
-                processes[name] = name, node.entry.build, node.entry.started
-        span = self.marshal.settings.release.exposure_window
+        for index, node in self.marshal.state.endpoints.by_index.items():
+            if node.listed.condition is Condition.READY and (name := self.names.nodes[index]) is not None:
+                processes[name] = name, node.listed.build, node.listed.started
+        span = self.marshal.state.settings.release.exposure_window
         found = believe(self.learnt.items(now), processes, self.name, span, self.lives)
         found.window_known = self.window_known
         return found
@@ -244,10 +253,14 @@
     def lore(self, belief: Belief, now: float) -> InheritedState:
         """A belief as the brain's door takes it; names that this marshal does not know are left out."""
         marshal, names = self.marshal, self.names
-        index = {name: number for number in marshal.nodes if (name := names.nodes[number]) is not None}
+        index = {
+            name: number
+            for number in marshal.state.endpoints.by_index
+            if (name := names.nodes[number]) is not None
+        }
         workloads = {name: number for number, name in enumerate(names.workloads)}
         kinds = {names.kind(number): number for number in range(len(names.kinds))}
-        ratios = {names.ratio(number): number for number in range(len(marshal.past))}
+        ratios = {names.ratio(number): number for number in range(len(marshal.state.baseline_errors))}
         pace = dict[int, LatencyEstimate]()
         earlier = dict[tuple[int, int], LatencyEstimate]()
         for (workload, kind), known in belief.times.items():
@@ -259,13 +272,17 @@
                 earlier[workloads[workload], kinds[kind]] = LatencyEstimate(*known)
         heard = []
         for item in belief.sums:
-            if item.marshal < marshal.settings.instance_count:
-                fit = {r: row for r, row in item.ratios.items() if 0 <= r < len(marshal.past)}
+            if item.marshal < marshal.state.settings.instance_count:
+                fit = {
+                    r: LlrSum(*row)
+                    for r, row in item.ratios.items()
+                    if 0 <= r < len(marshal.state.baseline_errors)
+                }
                 heard.append(
                     (item.marshal, InstanceReport(item.life, item.build, item.stage, 0.0, 0.0, {}, fit))
                 )
-        span = marshal.settings.release.exposure_window
-        since = now - marshal.began  # rows of a former life lie before this one began
+        span = marshal.state.settings.release.exposure_window
+        since = now - marshal.state.started_at  # rows of a former life lie before this one began
         return InheritedState(
             endpoints={
                 index[name]: InheritedEndpoint(each.slow, each.faults, each.aside, each.hold, each.cold_rate)
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -137,7 +137,7 @@
             except BadKeys as trouble:
                 raise ConfigurationError(f"keys: {trouble}") from trouble
         self.watch = keys.watch if keys else 5.0
-        seed = self.marshal.life
+        seed = self.marshal.state.incarnation
         self.asking = Asking(name, self.others(), orders.patience, orders.attempts, seed)
         bounds = TeachingBounds(orders.at_once, orders.a_second, orders.bytes_a_second)
         self.teaching = Teaching(bounds, seed)
@@ -224,7 +224,7 @@
             lore = replace(lore, sent=(), accepted=(), window_known=False)
         self.given = self.given or lore.window_known
         self.exchange.turn(self.marshal.apply_inherited_state, lore)
-        news = self.marshal.news
+        news = self.marshal.state.release
         own = None
         if news and news.build is not None and news.phase is not None:
             own = news.build, int(news.phase), news.cap
@@ -450,7 +450,7 @@
                 return
             items = await self.known(single=True)
             # A window of more rows than are told is not whole, and counts as not known.
-            closed = closed and sum(map(len, self.marshal.sent_to.values())) <= MOST_ROWS
+            closed = closed and sum(map(len, self.marshal.state.traffic.sent.values())) <= MOST_ROWS
             at, boot = time.time(), snapshot.booted()
             data = snapshot.made(items, self.deployment, self.name, self.life, at, closed, boot)
             try:
--- a/gatebank/statistics/order_statistics.py
+++ b/gatebank/statistics/order_statistics.py
@@ -11,12 +11,13 @@
 
 
 class OrderStatistics:
-    """
-    >>> ranks = OrderStatistics([3.0, 1.0, 2.0])
-    >>> ranks.median(9.0), OrderStatistics([]).median(9.0)
+    """Sorted values.
+
+    >>> values = OrderStatistics([3.0, 1.0, 2.0])
+    >>> values.median(9.0), OrderStatistics([]).median(9.0)
     (2.0, 9.0)
-    >>> ranks.change(1.0, 5.0)
-    >>> ranks.median(9.0)
+    >>> values.replace(1.0, 5.0)
+    >>> values.median(9.0)
     3.0
     """
 
@@ -25,19 +26,24 @@
     def __init__(self, values: Iterable[float]) -> None:
         self.values = sorted(values)
 
-    def change(self, was: float, now: float) -> None:
-        """One value becomes another; KeyError if it was not there."""
-        at = bisect_left(self.values, was)
-        if at == len(self.values) or self.values[at] != was:
-            raise KeyError(was)
+    def replace(self, old: float, new: float) -> None:
+        """One value becomes another.
+
+        Raises:
+            KeyError: the old one is not there.
+        """
+        at = bisect_left(self.values, old)
+        if at == len(self.values) or self.values[at] != old:
+            raise KeyError(old)
         del self.values[at]
-        insort(self.values, now)
+        insort(self.values, new)
 
     def add(self, value: float) -> None:
+        """Add one value."""
         insort(self.values, value)
 
     def median(self, empty: float) -> float:
-        """The median, of an even number the higher of the two in the middle (statistics.median_high)."""
+        """The median, of an even number the higher of the middle two; ``empty`` where there is none."""
         return self.values[len(self.values) // 2] if self.values else empty
 
     def __len__(self) -> int:
--- a/gatebank/statistics/sliding_window.py
+++ b/gatebank/statistics/sliding_window.py
@@ -12,7 +12,8 @@
 
 
 class SlidingWindow:
-    """
+    """Rows of (time in seconds, kind), oldest first.
+
     >>> window = SlidingWindow()
     >>> for at, kind in ((1.0, "a"), (2.0, "b"), (2.0, "a")):
     ...     window.add(at, kind)
@@ -33,14 +34,15 @@
         self.counts: dict[Hashable, int] = {}  # as many as there are kinds in the rows
 
     def add(self, at: float, kind: Hashable = None) -> None:
+        """Add a row of a time that is not before the newest one's."""
         self.rows.append((at, kind))
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
-    def again(self, at: float, kind: Hashable, now: float) -> None:
-        """The row of that time counts as one of now. It is looked for: for what happens seldom.
+    def move(self, at: float, kind: Hashable, now: float) -> None:
+        """The row of that time counts as one of now. It is searched for: for what happens seldom.
 
         >>> window = SlidingWindow()
-        >>> window.add(1.0, "a"), window.again(1.0, "a", 2.0), window.forget(1.5), window.count("a")
+        >>> window.add(1.0, "a"), window.move(1.0, "a", 2.0), window.forget(1.5), window.count("a")
         (None, None, None, 1)
         """
         try:
@@ -49,15 +51,16 @@
             self.counts[kind] = self.counts.get(kind, 0) + 1
         self.rows.append((now, kind))
 
-    def put_before(self, rows: Iterable[tuple[float, Hashable]]) -> None:
-        """Rows older than all here, in any order."""
+    def add_before(self, rows: Iterable[tuple[float, Hashable]]) -> None:
+        """Add rows older than all here, in any order."""
         for at, kind in sorted(rows, key=lambda row: row[0], reverse=True):
             self.rows.appendleft((at, kind))
             self.counts[kind] = self.counts.get(kind, 0) + 1
 
-    def forget(self, before: float, with_edge: bool = False) -> None:
+    def forget(self, before: float, *, with_edge: bool = False) -> None:
         """Drop what is older than that, and with ``with_edge`` what is just as old."""
-        rows, counts = self.rows, self.counts
+        rows = self.rows
+        counts = self.counts
         while rows and (rows[0][0] < before or (with_edge and rows[0][0] == before)):
             kind = rows.popleft()[1]
             if counts[kind] == 1:
@@ -71,6 +74,11 @@
 
     @property
     def oldest(self) -> float:
+        """The time of the oldest row.
+
+        Raises:
+            IndexError: there is none.
+        """
         return self.rows[0][0]
 
     def __len__(self) -> int:
