--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -103,7 +103,7 @@
         state = self.state
         if now > state.now + measurement.STALL_TICKS * measurement.TICK_S:
             state.resumed_at = now
-            state.fleet.fuser_heard_at = now
+            state.fleet.last_fuser_message_at = now
         state.now = now
 
     # Events.
@@ -188,7 +188,7 @@
         if not 0 <= peer < state.settings.instance_count:
             return
         if peer in self._fusers:
-            state.fleet.fuser_heard_at = state.now
+            state.fleet.last_fuser_message_at = state.now
         if isinstance(message, FleetReport):
             self._take_fleet_report(peer, message)
             return
@@ -224,13 +224,14 @@
         """What others saw before this instance did, at its start or soon after."""
         state = self.state
         inheritance.inherit_window(state, inherited)
-        for index, known in inherited.endpoints.items():
+        for index, inherited_endpoint in inherited.endpoints.items():
             endpoint = state.endpoints.by_index.get(index)
             if endpoint is None or endpoint.results >= measurement.OWN_RESULTS:
                 continue
-            inheritance.inherit_endpoint(state, endpoint, known, slow_start.PEER_RATE_S)
-            if known.ejected and not endpoint.ejected and outlier.may_eject_one_more(state, endpoint):
-                self._eject(endpoint, known.ejection_time, check_after=0.0)
+            inheritance.inherit_endpoint(state, endpoint, inherited_endpoint, slow_start.PEER_RATE_S)
+            eject = inherited_endpoint.ejected and not endpoint.ejected
+            if eject and outlier.may_eject_one_more(state, endpoint):
+                self._eject(endpoint, inherited_endpoint.ejection_time, check_after=0.0)
             state.endpoints.groups.ejection_changed()
         inheritance.inherit_means(state, inherited)
         inheritance.inherit_reports(state, inherited)
@@ -364,7 +365,7 @@
         latencies.before_canary = {
             key: estimate
             for key, estimate in latencies.baseline.items()
-            if not is_first and estimate.samples >= evidence.KNOWN_SAMPLES
+            if not is_first and estimate.samples >= evidence.RELIABLE_SAMPLES
         }
         latencies.load_before_canary = load_per_endpoint(state, outlier.UNRESPONSIVE_AT)
         state.canary_seen = False
@@ -409,7 +410,7 @@
         loads = state.traffic.loads(measurement.RATE_WINDOW_S)
         report = InstanceReport(state.incarnation, build, stage, state.traffic.rate, outstanding, loads, sums)
         self._send_to_fusers(report)
-        if rollout.tells_fleet(state):
+        if rollout.reports_fleet(state):
             reports = state.fleet.recent_reports(state.now - rollout.FLEET_MEMORY_S)
             fleet_report = merge_reports([*reports, report], state.voting.leaning)
             self._take_fleet_report(state.settings.instance, fleet_report)
--- a/gatebank/core/fleet_view.py
+++ b/gatebank/core/fleet_view.py
@@ -25,7 +25,7 @@
         canary_slowness: the canary's times over the baseline's; 0 where unknown.
         held_up_classes: request classes that are late by themselves, whatever endpoint they go to.
         peer_reports: the last of each instance.
-        fuser_heard_at: when a fuser last sent anything.
+        last_fuser_message_at: when a fuser last sent anything.
     """
 
     def __init__(self, instance: int, now: float) -> None:
@@ -37,7 +37,7 @@
         self.canary_slowness = 0.0
         self.held_up_classes: set[int] = set()
         self.peer_reports: dict[int, ReceivedReport] = {}
-        self.fuser_heard_at = now
+        self.last_fuser_message_at = now
 
     def take(self, sender: int, report: FleetReport, now: float, *, class_count: int, minimum: float) -> None:
         """Take a report; times of fewer than ``minimum`` answers a second are left out."""
--- a/gatebank/core/llr_sums.py
+++ b/gatebank/core/llr_sums.py
@@ -117,23 +117,23 @@
         """Take in what a peer tells of this build and stage; anything else is passed over."""
         if (message.build, message.stage) != (short_build(self.build), self.stage):
             return
-        known = self.by_peer.setdefault(PeerIncarnation(peer, message.incarnation), {})
+        peer_sums = self.by_peer.setdefault(PeerIncarnation(peer, message.incarnation), {})
         if isinstance(message, LlrDelta):
-            sums: Mapping[int, LlrSum] = {message.statistic: self._moved(known, message)}
+            sums: Mapping[int, LlrSum] = {message.statistic: self._moved(peer_sums, message)}
             endpoint_hash: int | None = message.endpoint_hash
         else:  # whole sums: they heal lost, late and repeated deltas
             sums = message.sums
             endpoint_hash = None
         for statistic, new in sums.items():
             if statistic < len(self.fused):
-                old = known.get(statistic, NO_SUM)
-                known[statistic] = new
+                old = peer_sums.get(statistic, NO_SUM)
+                peer_sums[statistic] = new
                 self.add_evidence(
                     statistic, new.value - old.value, new.outcomes - old.outcomes, endpoint_hash
                 )
 
-    def _moved(self, known: Mapping[int, LlrSum], delta: LlrDelta) -> LlrSum:
+    def _moved(self, peer_sums: Mapping[int, LlrSum], delta: LlrDelta) -> LlrSum:
         threshold, level_size, _ = self.quantization
-        value, outcomes = known.get(delta.statistic, NO_SUM)
+        value, outcomes = peer_sums.get(delta.statistic, NO_SUM)
         size = threshold + (abs(delta.level) - 1) * level_size
         return LlrSum(value + (size if delta.level > 0 else -size), outcomes + delta.outcomes)
--- a/gatebank/core/measurement.py
+++ b/gatebank/core/measurement.py
@@ -21,8 +21,10 @@
 
 
 class LatencyWeights(NamedTuple):
-    """How much a new answer weighs in a class's mean and in its endpoint's ratio, and the longest mean where
-    none is known, in seconds."""
+    """How much a new answer weighs in a class's mean and in its endpoint's ratio.
+
+    ``default_longest`` is the longest mean where there is none, in seconds.
+    """
 
     mean: float
     ratio: float
--- a/gatebank/policy/admission.py
+++ b/gatebank/policy/admission.py
@@ -18,8 +18,8 @@
 
 
 def sheds(state: BalancerState, request: RequestState) -> bool:
-    """Shed before queues tip, whatever fills them: by Little's law an answer takes attempts outstanding over
-    answers a second, and the shortest objective must hold. What pays least for its work goes first."""
+    """Whether to reject it before queues tip, whatever fills them; what pays least for its work first."""
+    # By Little's law an answer takes attempts outstanding over answers a second.
     held_up = state.fleet.held_up_classes
     served_window = state.traffic.served
     served = (len(served_window) - (served_window.count(*held_up) if held_up else 0)) / RATE_WINDOW_S
--- a/gatebank/policy/evidence.py
+++ b/gatebank/policy/evidence.py
@@ -19,7 +19,7 @@
 from gatebank.policy.slow_start import is_warm
 
 SETTLING_S = 1.0  # after its start nothing an endpoint does is judged
-KNOWN_SAMPLES = 20  # answers or outcomes from which a mean is known
+RELIABLE_SAMPLES = 20  # answers or outcomes from which a mean is known
 LATE_FACTOR = 3  # usual times: an answer is late beside the baseline
 LATE_EVERYWHERE_FACTOR = 2.5  # times before this canary came
 SLOWER_CANARY = 1.2  # the middle endpoint of the canary over the baseline's
@@ -49,8 +49,8 @@
     """
     usual = _usual_latency(state, attempt.latency_key)
     late = result.duration > LATE_FACTOR * usual.mean
-    given_up_early = result.outcome in GIVEN_UP and result.duration < LATE_FACTOR * usual.mean
-    if state.age(attempt.endpoint) < SETTLING_S or given_up_early:
+    given_up_too_soon = result.outcome in GIVEN_UP and result.duration < LATE_FACTOR * usual.mean
+    if state.age(attempt.endpoint) < SETTLING_S or given_up_too_soon:
         return None
     in_trial = state.release is not None and state.release.phase is Phase.CANARY
     of_baseline = state.test is None or attempt.build < state.test.build
@@ -60,9 +60,9 @@
     deltas: list[LlrDelta | None] = []
     slower = False
     if state.test and compared:
-        canary, baseline = _middle_ratios(state, state.test)
-        slower = usual.samples >= KNOWN_SAMPLES and canary > SLOWER_CANARY * baseline
-        if _drift_is_known(state, state.test, attempt, result):
+        canary, baseline = _median_ratios(state, state.test)
+        slower = usual.samples >= RELIABLE_SAMPLES and canary > SLOWER_CANARY * baseline
+        if _has_drift(state, state.test, attempt, result):
             late_drift = _late_by_drift(state, attempt, result, canary > QUICKER_CANARY * baseline)
             deltas.append(_move(state, state.test, Statistic.LATE_EVERYWHERE, attempt, late_drift))
     if result.outcome is Outcome.SUCCESS and timed and (of_baseline or not in_trial):
@@ -72,15 +72,15 @@
     elif state.test and attempt.build == state.test.build:
         outcomes = _error_statistics(attempt, result)
         deltas += [_move(state, state.test, statistic, attempt, bad) for statistic, bad in outcomes]
-        if compared and usual.samples >= KNOWN_SAMPLES:
+        if compared and usual.samples >= RELIABLE_SAMPLES:
             deltas.append(_move(state, state.test, Statistic.LATE, attempt, late and slower))
     return [delta for delta in deltas if delta]
 
 
 def _usual_latency(state: BalancerState, key: LatencyKey) -> LatencyEstimate:
     own = state.latencies.baseline.get(key, UNKNOWN)
-    if own.samples < KNOWN_SAMPLES and key in state.fleet.baseline_latency:
-        return LatencyEstimate(state.fleet.baseline_latency[key].per_answer, KNOWN_SAMPLES)
+    if own.samples < RELIABLE_SAMPLES and key in state.fleet.baseline_latency:
+        return LatencyEstimate(state.fleet.baseline_latency[key].per_answer, RELIABLE_SAMPLES)
     return own
 
 
@@ -89,13 +89,13 @@
     return not broken and attempt.request_class not in state.fleet.held_up_classes
 
 
-def _middle_ratios(state: BalancerState, test: SequentialTest) -> tuple[float, float]:
+def _median_ratios(state: BalancerState, test: SequentialTest) -> tuple[float, float]:
     """How slow the middle endpoints of canary and baseline are; where traffic is thin, the fleet's."""
     slowness = state.fleet.canary_slowness
     return (slowness, 1.0) if slowness else median_ratios(state, test.build)
 
 
-def _drift_is_known(
+def _has_drift(
     state: BalancerState, test: SequentialTest, attempt: AttemptRecord, result: AttemptResult
 ) -> bool:
     """Whether an answer can be held against the time before the canary came; silence is not slowness."""
@@ -147,6 +147,6 @@
     """The baseline's share of bad outcomes; of errors at least its recent one."""
     late = statistic in (Statistic.LATE, Statistic.LATE_EVERYWHERE)
     row = state.baseline_errors[Statistic.LATE if late else statistic]
-    share = row.bad / row.total if row.total >= KNOWN_SAMPLES else odds_of(statistic).unknown_p0
+    share = row.bad / row.total if row.total >= RELIABLE_SAMPLES else odds_of(statistic).unknown_p0
     p0 = min(MAX_P0, max(MIN_P0, share))
     return p0 if late else max(p0, min(MAX_RECENT_P0, row.recent_rate))
--- a/gatebank/policy/rollout.py
+++ b/gatebank/policy/rollout.py
@@ -33,7 +33,7 @@
     return ticks % (REPORT_TICKS * every) == 0
 
 
-def tells_fleet(state: BalancerState) -> bool:
+def reports_fleet(state: BalancerState) -> bool:
     """The first fuser tells what all instances do, or the next one that has not heard it."""
     me = state.settings.instance
     fleet = state.fleet
@@ -61,8 +61,8 @@
     test = state.test
     if test is None:
         return None
-    heard_none = state.now - state.fleet.fuser_heard_at >= FUSER_SILENCE_S
-    if heard_none or state.settings.instance in fusers(state.settings.instance_count):
+    fusers_are_silent = state.now - state.fleet.last_fuser_message_at >= FUSER_SILENCE_S
+    if fusers_are_silent or state.settings.instance in fusers(state.settings.instance_count):
         groups = state.endpoints.groups
         endpoints = groups.by_build.get(test.build, ())
         warm = groups.warm_count(endpoints, state.now, state.settings.slow_start.warm_up)
--- a/gatebank/policy/routing.py
+++ b/gatebank/policy/routing.py
@@ -8,7 +8,7 @@
 from gatebank.events import Phase, RetrySafety
 from gatebank.policy.exposure import cap_allows, is_canary
 from gatebank.policy.outlier import busyness
-from gatebank.policy.slow_start import admits, least_capacity
+from gatebank.policy.slow_start import admits, minimum_capacity
 from gatebank.statistics.endpoint_groups import EndpointGroups, Selection
 
 MIN_SUBSET = 4.0  # endpoints
@@ -26,8 +26,8 @@
     canaries = {b: cap_allows(state, request, b) for b in groups.by_build if is_canary(state, b)}
     baseline = groups.select(canaries, excluded=True)
     canary = groups.select([build for build, allowed in canaries.items() if allowed])
-    old = _least_busy(state, baseline)
-    new = _least_busy(state, canary)
+    old = _less_busy_of_two(state, baseline)
+    new = _less_busy_of_two(state, canary)
     rolling_back = state.release is not None and state.release.phase is Phase.ROLLING_BACK
     # What failed is tried at the baseline next: it tells whose fault it was, and spares the client.
     if not old or not new or request.suspected_errors or rolling_back:
@@ -36,7 +36,7 @@
     warm_up = state.settings.slow_start.warm_up
 
     def capacity_of(endpoint: EndpointState) -> float:
-        return least_capacity(state, endpoint)
+        return minimum_capacity(state, endpoint)
 
     old_part = groups.capacity(baseline, state.now, warm_up, capacity_of)
     new_part = groups.capacity(canary, state.now, warm_up, capacity_of)
@@ -60,7 +60,7 @@
     return found
 
 
-def _least_busy(state: BalancerState, selection: Selection) -> EndpointState | None:
+def _less_busy_of_two(state: BalancerState, selection: Selection) -> EndpointState | None:
     """The design's pick: the less busy of two at random, or the first to be found that may be sent to."""
     endpoints = selection.healthy or selection.endpoints
     two = [each for each in _near(state, endpoints) if admits(state, each)]
@@ -71,8 +71,8 @@
 
 
 def _near(state: BalancerState, endpoints: list[EndpointState]) -> list[EndpointState]:
-    """Two at random of those near this instance's place: as many as it meets twice while an idle connection
-    lives. New connections cost endpoints; even places, so that all instances together reach all alike."""
+    """Two at random of those near this instance: as many as it meets twice while an idle connection lives."""
+    # New connections cost endpoints. Places are even, so that all instances together reach all alike.
     size = len(endpoints)
     settings = state.settings
     idle_timeout = settings.limits.connection_idle_timeout
--- a/gatebank/policy/slow_start.py
+++ b/gatebank/policy/slow_start.py
@@ -16,7 +16,7 @@
     return state.age(endpoint) >= state.settings.slow_start.warm_up + WARM_UP_MARGIN_S
 
 
-def least_capacity(state: BalancerState, endpoint: EndpointState) -> float:
+def minimum_capacity(state: BalancerState, endpoint: EndpointState) -> float:
     """The least fraction of its capacity that it can have by now."""
     slow_start = state.settings.slow_start
     initial = slow_start.initial_capacity
@@ -24,14 +24,14 @@
 
 
 def admits(state: BalancerState, endpoint: EndpointState) -> bool:
-    """Whether it may be sent to: half of the overload multiple x its least capacity x this instance's served
-    traffic an endpoint, which holds in sum; below one attempt, chance says when the first is due."""
+    """Whether it may be sent to: half of the overload multiple x its capacity x this instance's traffic."""
+    # This holds in sum over all instances; below one attempt, chance says when the first is due.
     if is_warm(state, endpoint):
         return True
     slow_start = state.settings.slow_start
     served_rate = min(state.traffic.rate, SERVED_RATE_PER_WINDOW * len(state.traffic.served))
     fair = served_rate / max(1, len(state.endpoints.ready))
-    allowed = slow_start.overload_multiple * least_capacity(state, endpoint) * fair  # attempts a second
+    allowed = slow_start.overload_multiple * minimum_capacity(state, endpoint) * fair  # attempts a second
     peers = endpoint.peer_cold_rate
     if state.now < peers.until:  # others send it more than this instance's own traffic would tell
         allowed = min(allowed, max(0.0, allowed * state.settings.instance_count - 2 * peers.rate))
--- a/gatebank/settings.py
+++ b/gatebank/settings.py
@@ -69,9 +69,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlowStart:
-    """An endpoint that starts: its capacity grows from ``initial_capacity`` (a fraction) to the whole within
-    ``warm_up`` seconds; over ``overload_multiple`` times of what it has by then, for ``overload_window``
-    seconds, it falls over."""
+    """How an endpoint starts; times in seconds.
+
+    Its capacity grows from ``initial_capacity`` (a fraction) to the whole within ``warm_up``; over
+    ``overload_multiple`` times of what it has by then, for ``overload_window``, it falls over.
+    """
 
     initial_capacity: float = 1.0
     warm_up: float = 0.0
@@ -139,8 +141,8 @@
 class _Section:
     """One object of the settings; what it lacks is left to the default of the field."""
 
-    def __init__(self, given: Any) -> None:
-        self.given = given if isinstance(given, Mapping) else {}
+    def __init__(self, given: object) -> None:
+        self.given: Mapping[str, Any] = given if isinstance(given, Mapping) else {}
 
     def present(self, **names: str) -> dict[str, Any]:
         """The values there are, by field; each argument names a field and the settings' word for it."""
--- a/gatebank/simulator/host.py
+++ b/gatebank/simulator/host.py
@@ -42,6 +42,7 @@
 
 Event = Mapping[str, Any]
 WireAction = dict[str, Any]
+RequestAction = actions.StartAttempt | actions.CancelAttempt | actions.RejectRequest | actions.FailRequest
 
 
 class WireError(GatebankError):
@@ -265,19 +266,16 @@
 
     def wire_action(self, action: actions.Action) -> WireAction:
         """One action in the wire's form."""
-        requests = self.tables.request_names
         match action:
-            case actions.StartAttempt():
-                return self.start_attempt(action)
+            case (
+                actions.StartAttempt()
+                | actions.CancelAttempt()
+                | actions.RejectRequest()
+                | actions.FailRequest()
+            ):
+                return self.request_action(action)
             case actions.StartTimer(at, timer):
                 return {"msg": "Arm", "at-ms": at * MILLISECONDS, "name": timer_name(timer)}
-            case actions.CancelAttempt(index, attempt):
-                return {"msg": "AbortAttempt", "call": requests[index], "round-no": attempt}
-            case actions.RejectRequest():
-                return self.reject_request(action)
-            case actions.FailRequest(index):
-                self.tables.answered.add(index)
-                return {"msg": "Surrender", "call": requests[index]}
             case actions.SendToPeer(peer, message):
                 data = b64encode(peer_messages.encode(message)).decode()
                 return {"msg": "BroadcastTo", "whom": peer, "data": data}
@@ -290,6 +288,20 @@
             case actions.WatchEndpoints():
                 return {"msg": "Tail", "active": True}
 
+    def request_action(self, action: RequestAction) -> WireAction:
+        """An action on a request in the wire's form."""
+        call = self.tables.request_names[action.request]
+        match action:
+            case actions.StartAttempt():
+                return self.start_attempt(action)
+            case actions.CancelAttempt(_, attempt):
+                return {"msg": "AbortAttempt", "call": call, "round-no": attempt}
+            case actions.RejectRequest():
+                return self.reject_request(action)
+            case actions.FailRequest(index):
+                self.tables.answered.add(index)
+                return {"msg": "Surrender", "call": call}
+
     def start_attempt(self, action: actions.StartAttempt) -> WireAction:
         """The wire's form of an attempt, which counts as outstanding from here on."""
         self.tables.outstanding[action.request] += 1
@@ -312,7 +324,7 @@
         self.instances: dict[str, InstanceHost] = {}  # a row goes when the instance is killed
         self.lists: dict[int, list[Any]] = {}  # at most 16: a number's new list replaces its last
 
-    def answer(self, batch: Any) -> dict[str, Any]:
+    def answer(self, batch: object) -> dict[str, Any]:
         """The reply to one batch.
 
         Raises:
