--- a/gatebank/cli/learn.py
+++ b/gatebank/cli/learn.py
@@ -160,6 +160,13 @@
     return {"what": told.pop("type"), **told, "weight": weight_of(item)}
 
 
+def write_json(value: dict[str, Any]) -> None:
+    """Writes an object as a line of standard output; keys that are numbers, as sums have, become strings."""
+    import orjson
+
+    sys.stdout.buffer.write(orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS) + b"\n")
+
+
 def thing(item: Known) -> str:
     """What an item is of, in a word or two."""
     told = row(item)
@@ -172,14 +179,12 @@
     source: Source, as_json: AsJson = False, keys: Keys = None, configuration: Deployment = None
 ) -> None:
     """What is known, how old it is, from whom, and what it would weigh now."""
-    import orjson
-
     from gatebank.capture.records import harmless
 
     rows = known(source, keys, configuration)
     if as_json:
         for item in rows:
-            sys.stdout.buffer.write(orjson.dumps(row(item)) + b"\n")
+            write_json(row(item))
         return
     single: dict[tuple[str, str, int], int] = {}
     for item in rows:
@@ -208,8 +213,6 @@
     a: Source, b: Source, as_json: AsJson = False, keys: Keys = None, configuration: Deployment = None
 ) -> None:
     """What one knows and the other does not, and where they differ; ages apart do not count."""
-    import orjson
-
     from gatebank.capture.records import harmless
     from gatebank.state_transfer.items import Sent, Took, identity
 
@@ -226,7 +229,7 @@
         if same:
             continue
         if as_json:
-            sys.stdout.buffer.write(orjson.dumps({"a": one, "b": other}) + b"\n")
+            write_json({"a": one, "b": other})
         elif one and other:
             names = [n for n in one if one[n] != other.get(n) and n not in ("age", "weight", "seen")]
             told = ", ".join(f"{n} {one[n]} and {other.get(n)}" for n in names)
--- a/tests/test_key_and_learn_commands.py
+++ b/tests/test_key_and_learn_commands.py
@@ -9,6 +9,7 @@
 from tests.support.program import run
 from tests.support.rehearsal import Rehearsal
 from tests.support.stand import Stand
+from tests.support.stored_data_access import BEFORE, stored
 
 
 async def test_keys_and_learn_as_documented() -> None:
@@ -110,3 +111,32 @@
         assert (status, err, came) == (0, "", 3), (status, err, came)
     finally:
         donor.close()
+
+
+async def test_learn_commands_print_sums_as_json() -> None:
+    """`learn show --json` and `learn diff --json` of a snapshot with sums of a sequential test.
+
+    Every item is a line with its stored fields; the sums' ratio numbers are strings, as JSON has keys.
+    """
+    folder = str(BEFORE / "snapshots" / "all-kinds")
+    [contents] = [row for row in stored("snapshots/contents.json") if "all-kinds" in row["file"]]
+    expected = [{"what": item["type"]} | item for item in contents["items"]]
+    for item in expected:
+        del item["type"]
+
+    status, output, errors = await run("learn", "show", folder, "--json")
+    assert (status, errors) == (0, "")
+    shown = [json.loads(line) for line in output.splitlines()]
+    weights = [item.pop("weight") for item in shown]
+    assert sorted(map(json.dumps, shown)) == sorted(map(json.dumps, expected))
+    weighed = {item["what"] for item, weight in zip(shown, weights, strict=True) if weight is not None}
+    assert weighed == {"node", "times", "past", "sums"}
+
+    other = str(BEFORE / "snapshots" / "empty")
+    status, output, errors = await run("learn", "diff", folder, other, "--json")
+    assert (status, errors) == (0, "")
+    rows = [json.loads(line) for line in output.splitlines()]
+    assert all(row["b"] is None for row in rows)
+    sums = [row["a"]["ratios"] for row in rows if row["a"]["what"] == "sums"]
+    assert sums == [item["ratios"] for item in expected if item["what"] == "sums"]
+    assert sums[0] == {"0": [-1.25, 40], "4": [0.5, 3], "11": [1000000.0, 1000000000]}
