--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -42,13 +42,13 @@
     if path is None:
         return None
     try:
-        from gatebank.operator_config.operators_file import Unusable, read
+        from gatebank.operator_config.operators_file import OperatorsFileError, read_operators_file
     except ModuleNotFoundError as trouble:
         print(f"gatebank: --orders needs the extra gatebank[operators]: {trouble}", file=sys.stderr)
         raise typer.Exit(2) from None
     try:
-        return read(path)
-    except Unusable as trouble:
+        return read_operators_file(path)
+    except OperatorsFileError as trouble:
         print(trouble, file=sys.stderr)
         raise typer.Exit(2) from None
 
--- a/gatebank/cli/keys.py
+++ b/gatebank/cli/keys.py
@@ -6,7 +6,7 @@
 import os
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 
@@ -15,105 +15,118 @@
     pretty_exceptions_enable=False,
     help="Make, show and check the keys of links between instances.",
 )
-Folder = Annotated[Path, typer.Argument(help="A folder.")]
-Name = Annotated[str, typer.Argument(help="The name in the certificate.")]
+FolderArgument = Annotated[Path, typer.Argument(help="A folder.")]
+NameArgument = Annotated[str, typer.Argument(help="The name in the certificate.")]
+AUTHORITY_KEY = "authority.key"  # in the folder of an authority, beside its certificate
+PRIVATE_MODE = 0o600
+PUBLIC_MODE = 0o644
+FOLDER_MODE = 0o700
+SHOWN_FINGERPRINT = 32  # characters: enough to tell certificates apart by eye
 
 
 @app.callback()
-def ready() -> None:
+def check_installed() -> None:
+    """Refuses all commands where `cryptography` is not installed."""
     if importlib.util.find_spec("cryptography") is None:
         refuse("keys need the extra gatebank[learning]; cryptography is missing")
 
 
-def refuse(why: object) -> None:
-    typer.echo(f"gatebank: {why}".replace("\n", " "), err=True)
+def refuse(reason: object) -> NoReturn:
+    """Ends the command with status 2 and a line on standard error."""
+    typer.echo(f"gatebank: {reason}".replace("\n", " "), err=True)
     raise typer.Exit(2)
 
 
-def put(path: Path, data: bytes, private: bool = False) -> None:
-    """Written aside and renamed: whoever watches the folder sees the old file or the new one."""
-    aside = path.with_name(path.name + ".new")
+def write_file(path: Path, data: bytes, mode: int = PUBLIC_MODE) -> None:
+    """Writes a file under another name and renames it, so a watcher sees the old file or the new one."""
+    temporary = path.with_name(path.name + ".new")
     try:
-        path.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
-        descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600 if private else 0o644)
+        path.parent.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
+        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, mode)
         with os.fdopen(descriptor, "wb") as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        os.replace(aside, path)
-    except OSError as trouble:
-        refuse(f"{path}: {trouble.strerror}")
+        temporary.replace(path)
+    except OSError as error:
+        refuse(f"{path}: {error.strerror}")
 
 
 @app.command("authority")
-def authority_(
-    folder: Folder, title: Name = "gatebank", days: Annotated[float, typer.Option(min=0.01)] = 3650
+def make_authority(
+    folder: FolderArgument,
+    title: NameArgument = "gatebank",
+    days: Annotated[float, typer.Option(min=0.01)] = 3650,
 ) -> None:
     """Make a new authority: FOLDER/authority.key stays where instances' keys are made."""
-    from gatebank.keys.authority import authority
-
-    if (folder / "authority.key").exists():
-        refuse(f"{folder / 'authority.key'}: is there already; a new authority wants a new folder")
-    made = authority(title, days=days)
-    put(folder / "authority.key", made.key, private=True)
-    put(folder / "authority.pem", made.certificate)
+    from gatebank.keys import authority
+    from gatebank.keys import folder as key_folder
+
+    if (folder / AUTHORITY_KEY).exists():
+        refuse(f"{folder / AUTHORITY_KEY}: is there already; a new authority wants a new folder")
+    made = authority.make_authority(title, days=days)
+    write_file(folder / AUTHORITY_KEY, made.key, PRIVATE_MODE)
+    write_file(folder / key_folder.AUTHORITY, made.certificate)
     print(f"{folder}: authority {title}, for {days:g} days")
 
 
-@app.command()
-def instance(
+@app.command("instance")
+def make_instance(
     authority: Annotated[Path, typer.Argument(help="The authority's folder.")],
-    name: Name,
+    name: NameArgument,
     folder: Annotated[Path, typer.Argument(help="The instance's folder of keys.")],
     days: Annotated[float, typer.Option(min=0.001)] = 90,
     trust: Annotated[list[Path] | None, typer.Option(help="Another authority.pem to trust too.")] = None,
 ) -> None:
     """Make a key and a certificate for one instance, in its own folder; anew, it replaces what is there."""
-    from gatebank.keys import authority as made
-    from gatebank.keys import folder as keys
+    from gatebank.keys import authority as authorities
+    from gatebank.keys import folder as key_folder
 
     try:
-        of = made.Pair((authority / "authority.key").read_bytes(), (authority / "authority.pem").read_bytes())
-        pair = made.instance(of, name, days=days)
-        trusted = of.certificate + b"".join(each.read_bytes() for each in trust or ())
-    except OSError as trouble:
-        refuse(f"{trouble.filename}: {trouble.strerror}")
-    except (ValueError, TypeError) as trouble:
-        refuse(f"{authority}: {trouble}")
-    put(folder / keys.AUTHORITY, trusted)
-    put(folder / keys.KEY, pair.key, private=True)
-    put(folder / keys.CERTIFICATE, pair.certificate)
+        signer = authorities.KeyPair(
+            (authority / AUTHORITY_KEY).read_bytes(), (authority / key_folder.AUTHORITY).read_bytes()
+        )
+        made = authorities.make_instance(signer, name, days=days)
+        trusted = signer.certificate + b"".join(path.read_bytes() for path in trust or ())
+    except OSError as error:
+        refuse(f"{error.filename}: {error.strerror}")
+    except (ValueError, TypeError) as error:
+        refuse(f"{authority}: {error}")
+    write_file(folder / key_folder.AUTHORITY, trusted)
+    write_file(folder / key_folder.KEY, made.key, PRIVATE_MODE)
+    write_file(folder / key_folder.CERTIFICATE, made.certificate)
     print(f"{folder}: {name}, for {days:g} days")
 
 
 @app.command()
 def show(file: Annotated[Path, typer.Argument(help="A file of certificates, or a folder of keys.")]) -> None:
     """What certificates say."""
-    from gatebank.keys import folder as keys
-    from gatebank.keys.authority import shown
+    from gatebank.keys import folder as key_folder
+    from gatebank.keys.authority import read_certificates
 
-    paths = [file / keys.AUTHORITY, file / keys.CERTIFICATE] if file.is_dir() else [file]
+    paths = [file / key_folder.AUTHORITY, file / key_folder.CERTIFICATE] if file.is_dir() else [file]
     try:
-        rows = [(path, each) for path in paths for each in shown(path.read_bytes())]
-    except (OSError, ValueError) as trouble:
-        refuse(f"{file}: {getattr(trouble, 'strerror', None) or trouble}")
-    for path, each in rows:
-        kind = "authority" if each.authority else "instance"
-        ends = f"{each.begin:%Y-%m-%d %H:%M} to {each.end:%Y-%m-%d %H:%M}"
-        print(f"{path.name}: {kind} {each.name}, of {each.issuer}, {ends}, {each.fingerprint[:32]}")
+        rows = [(path, certificate) for path in paths for certificate in read_certificates(path.read_bytes())]
+    except (OSError, ValueError) as error:
+        refuse(f"{file}: {getattr(error, 'strerror', None) or error}")
+    for path, certificate in rows:
+        kind = "authority" if certificate.is_authority else "instance"
+        validity = f"{certificate.begin:%Y-%m-%d %H:%M} to {certificate.end:%Y-%m-%d %H:%M}"
+        fingerprint = certificate.fingerprint[:SHOWN_FINGERPRINT]
+        print(f"{path.name}: {kind} {certificate.name}, of {certificate.issuer}, {validity}, {fingerprint}")
 
 
 @app.command()
-def check(folder: Folder) -> None:
+def check(folder: FolderArgument) -> None:
     """Could an instance start with this folder? Status 1 if a certificate ends within two weeks."""
-    from gatebank.keys import folder as keys
+    from gatebank.keys import folder as key_folder
 
     try:
-        found = keys.read(folder)
-    except keys.BadKeys as trouble:
-        refuse(trouble)
-    soon = found.expires(datetime.now(UTC))
-    print(f"{folder}: {found.name}, until {found.instance.end:%Y-%m-%d %H:%M}")
-    for each in soon:
-        print(each)
-    raise typer.Exit(1 if soon else 0)
+        keys = key_folder.read_keys(folder)
+    except key_folder.KeyFolderError as error:
+        refuse(error)
+    print(f"{folder}: {keys.name}, until {keys.instance.end:%Y-%m-%d %H:%M}")
+    warnings = keys.expiry_warnings(datetime.now(UTC))
+    for warning in warnings:
+        print(warning)
+    raise typer.Exit(1 if warnings else 0)
--- a/gatebank/cli/learn.py
+++ b/gatebank/cli/learn.py
@@ -2,237 +2,201 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
-import time
+from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Any, NoReturn
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple, NoReturn
 
+import orjson
 import typer
 
 if TYPE_CHECKING:
-    from gatebank.state_transfer.items import Known
-    from gatebank.state_transfer.session import Link
+    from gatebank.state_transfer.items import StateItem
 
 app = typer.Typer(
     no_args_is_help=True,
     pretty_exceptions_enable=False,
     help="Show and compare what running instances and snapshots know.",
 )
-FIGURES = ("phase", "cap", "rate", "slow", "faults", "aside", "pace", "bad", "all")
-Source = Annotated[str, typer.Argument(help="An instance's address:port, or a snapshot file or folder.")]
-AsJson = Annotated[bool, typer.Option("--json", help="For programs: an object a line.")]
-Keys = Annotated[Path | None, typer.Option(help="A folder of keys; without it the link is plain.")]
-Deployment = Annotated[Path | None, typer.Option(help="A marshal's configuration: whose deployment it is.")]
-
-
-def refuse(why: object) -> NoReturn:
-    typer.echo(f"gatebank: {why}".replace("\n", " "), err=True)
+# Names in items' stored form, in the order of the text: what an item is of, and its figures.
+SUBJECT_NAMES = ("node", "workload", "ratio", "build", "stage", "marshal", "kind")
+FIGURE_NAMES = ("phase", "cap", "rate", "slow", "faults", "aside", "pace", "bad", "all")
+# Differences in these do not count: two instances saw the same at other times.
+NOT_COMPARED = ("age", "weight", "seen")
+# Kinds of which the text has a number of rows and not each row.
+SINGLE_EVENT_KINDS = ("sent", "took")
+
+Fields = dict[str, Any]  # of an item: its kind, its stored fields and its weight, as they are printed
+SourceArgument = Annotated[
+    str, typer.Argument(help="An instance's address:port, or a snapshot file or folder.")
+]
+FirstSource = Annotated[
+    str, typer.Argument(metavar="a", help="An instance's address:port, or a snapshot file or folder.")
+]
+SecondSource = Annotated[
+    str, typer.Argument(metavar="b", help="An instance's address:port, or a snapshot file or folder.")
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="For programs: an object a line.")]
+KeysOption = Annotated[Path | None, typer.Option(help="A folder of keys; without it the link is plain.")]
+ConfigurationOption = Annotated[
+    Path | None, typer.Option(help="A marshal's configuration: whose deployment it is.")
+]
+
+
+class EventCount(NamedTuple):
+    """Items of single events that the text counts together; the build is 0 where they have none."""
+
+    kind: str
+    origin: str
+    build: int
+
+
+def refuse(reason: object) -> NoReturn:
+    """Ends the command with status 2 and a line on standard error."""
+    typer.echo(f"gatebank: {reason}".replace("\n", " "), err=True)
     raise typer.Exit(2)
 
 
-def known(source: str, keys: Path | None, configuration: Path | None) -> list[Known]:
-    """All items of a source, by value; one line and status 2 if there are none to be had."""
-    try:
-        from gatebank.state_transfer.items import by_value
-    except ModuleNotFoundError as trouble:
-        refuse(f"learn needs the extra gatebank[learning]: {trouble}")
-    path = Path(source)
-    if path.exists():
-        return by_value(of_snapshot(path))
-    from gatebank.proxy.configuration import ConfigurationError, address
-
-    try:
-        where = address(source, "source")
-    except ConfigurationError as trouble:
-        refuse(f"{trouble}, and no such file")
-    return by_value(asyncio.run(of_instance(source, where, keys, configuration)))
-
-
-def of_snapshot(path: Path) -> list[Known]:
-    from gatebank.state_transfer import snapshot
-
-    paths = [path / name for name in snapshot.NAMES if (path / name).exists()] if path.is_dir() else [path]
-    found, why = [], "no snapshot is there"
-    for each in paths:
-        try:
-            data = each.read_bytes()
-            told = snapshot.peek(data)
-            found.append((told.at, snapshot.opened(data, told.deployment, max(time.time(), told.at), 1e9)[1]))
-        except (OSError, snapshot.Refused) as trouble:
-            why = f"{each.name}: {getattr(trouble, 'strerror', None) or trouble}"
-    if not found:
-        refuse(f"{path}: {why}")
-    return max(found, key=lambda row: row[0])[1]
-
-
-async def told_by(link: Link, deployment: str) -> tuple[list[Known] | None, float | None]:
-    """What an instance tells, None if it ends amid that, and s until it may be asked again if it is busy."""
-    from gatebank.state_transfer import protocol
-
-    talk, found = protocol.Talk(protocol.Hello(name="show", deployment=deployment)), list[Any]()
-    await link.send(talk.hello() + protocol.frame(protocol.ASK, protocol.Ask()))
-    while not talk.ended:
-        data = await link.read()
-        if not data:
-            return None, None
-        for word in talk.feed(data):
-            if isinstance(word, protocol.Refuse):
-                return found, word.back_in
-            if isinstance(word, list):
-                found += word
-    return found, None
-
-
-async def of_instance(
-    source: str, where: tuple[str, int], keys: Path | None, configuration: Path | None
-) -> list[Known]:
-    """As a learner asks; the instance's listener decides whether this one may."""
-    import os
-    import ssl
-
-    from gatebank.keys.folder import BadKeys, read
-    from gatebank.keys.sealed import Sealed
-    from gatebank.proxy.configuration import ConfigurationError, load_configuration
-    from gatebank.proxy.sockets import opened
-    from gatebank.state_transfer import protocol
-    from gatebank.state_transfer.session import Link
-
-    deployment = ""
+def load(source: str, keys: Path | None, configuration: Path | None) -> list[StateItem]:
+    """Returns the items of a source, the most valuable first, or ends the command."""
     try:
-        if configuration:
-            posting = load_configuration(dict(os.environ) | {"ROUTER_CONFIG": str(configuration)})
-            deployment = protocol.deployment(posting.settings)
-        tls = Sealed(read(keys).client, False) if keys else None
-    except (ConfigurationError, BadKeys) as trouble:
-        refuse(trouble)
-    link: Link | None = None
-    why = "no answer in time"
+        from gatebank.cli.state_sources import StateSourceError, load_items
+    except ModuleNotFoundError as error:
+        refuse(f"learn needs the extra gatebank[learning]: {error}")
     try:
-        async with asyncio.timeout(20):
-            while True:  # who is told to come again does so: a donor's customers come first
-                link = Link(opened(where), tls)
-                await link.loop.sock_connect(link.sock, where)
-                await link.shake()
-                found, again = await told_by(link, deployment)
-                if found is None:
-                    refuse(f"{source}: it ended the connection; is this name among its may_learn?")
-                if again is None:
-                    return found
-                why = "busy"
-                link.close()
-                await asyncio.sleep(again)
-    except protocol.Garbled as trouble:
-        refuse(f"{source}: {trouble}; --configuration tells which deployment is asked")
-    except ssl.SSLError as trouble:
-        refuse(f"{source}: TLS: {trouble.reason or trouble}")
-    except ConnectionError as trouble:
-        refuse(f"{source}: {trouble.strerror}; is this name among its may_learn?")
-    except (OSError, TimeoutError) as trouble:
-        refuse(f"{source}: {getattr(trouble, 'strerror', None) or why}")
-    finally:
-        if link:
-            link.close()
-
-
-def weight_of(item: Known) -> float | None:
-    """What it would weigh now, by the defaults' half-lives; None where it is not weighed."""
-    from gatebank.state_transfer.items import Health, Past, Sums, Times
-    from gatebank.state_transfer.weighting import HalfLives, weight
-
-    lives = HalfLives()
+        return load_items(source, keys, configuration)
+    except StateSourceError as error:
+        refuse(error)
+
+
+def default_weight(item: StateItem) -> float | None:
+    """Returns what an item weighs by the default half-lives; None for kinds that are not weighed."""
+    from gatebank.state_transfer import items, weighting
+
+    half_lives = weighting.HalfLives()
     match item:
-        case Health():
-            return weight(item, lives.sick if item.aside or item.faults >= 0.2 else lives.well)
-        case Times():
-            return weight(item, lives.times)
-        case Past():
-            return weight(item, lives.past)
-        case Sums():
-            return weight(item, lives.sums)
-    return None
-
-
-def row(item: Known) -> dict[str, Any]:
+        case items.EndpointHealth():
+            half_life = weighting.health_half_life(item, half_lives)
+        case items.UsualLatency():
+            half_life = half_lives.usual_latency
+        case items.BaselineFailures():
+            half_life = half_lives.baseline_failures
+        case items.SequentialTestSums():
+            half_life = half_lives.test_sums
+        case _:
+            return None
+    return weighting.weight(item, half_life)
+
+
+def item_fields(item: StateItem) -> Fields:
+    """Returns an item's kind, stored fields and weight, by the names of the JSON output."""
     import msgspec
 
-    told = msgspec.to_builtins(item)
-    return {"what": told.pop("type"), **told, "weight": weight_of(item)}
+    fields = msgspec.to_builtins(item)
+    return {"what": fields.pop("type"), **fields, "weight": default_weight(item)}
 
 
-def write_json(value: dict[str, Any]) -> None:
+def write_json(value: Fields) -> None:
     """Writes an object as a line of standard output; keys that are numbers, as sums have, become strings."""
-    import orjson
-
     sys.stdout.buffer.write(orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS) + b"\n")
 
 
-def thing(item: Known) -> str:
-    """What an item is of, in a word or two."""
-    told = row(item)
-    names = ("node", "workload", "ratio", "build", "stage", "marshal", "kind")
-    return " ".join(f"{name} {told[name]}" for name in names if told.get(name) not in (None, ""))
+def print_line(text: str) -> None:
+    """Prints a line; names in it may come from elsewhere, so control characters are replaced."""
+    from gatebank.capture.records import harmless
+
+    print(harmless(text))
+
+
+def item_text(item: StateItem) -> str:
+    """Returns an item as a line of text."""
+    fields = item_fields(item)
+    subject = " ".join(
+        f"{name} {fields[name]}" for name in SUBJECT_NAMES if fields.get(name) not in (None, "")
+    )
+    figures = " ".join(
+        f"{name} {figure_text(fields[name])}"
+        for name in FIGURE_NAMES
+        if fields.get(name) not in (None, False)
+    )
+    observed = f"{item.age:.1f} s old, by {item.origin}, seen {item.outcomes}"
+    weight = "" if fields["weight"] is None else f" weighs {fields['weight']:.2f}"
+    return f"{fields['what']:>6} {subject}: {figures}; {observed}{weight}"
+
+
+def figure_text(value: object) -> str:
+    """Returns a figure in three digits, other values as they are."""
+    return f"{value:.3g}" if isinstance(value, float) else str(value)
+
+
+def print_items(items: Iterable[StateItem]) -> None:
+    """Prints a line for each item, and one for all items of single events that are alike."""
+    counts: Counter[EventCount] = Counter()
+    for item in items:
+        fields = item_fields(item)
+        if fields["what"] in SINGLE_EVENT_KINDS:
+            counts[EventCount(fields["what"], item.origin, fields.get("build", 0))] += 1
+        else:
+            print_line(item_text(item))
+    for event, count in counts.items():
+        build = f", build {event.build}" if event.build else ""
+        print_line(f"{event.kind:>6} {count} rows of the last window by {event.origin}{build}")
 
 
 @app.command()
 def show(
-    source: Source, as_json: AsJson = False, keys: Keys = None, configuration: Deployment = None
+    source: SourceArgument,
+    as_json: JsonOption = False,
+    keys: KeysOption = None,
+    configuration: ConfigurationOption = None,
 ) -> None:
     """What is known, how old it is, from whom, and what it would weigh now."""
-    from gatebank.capture.records import harmless
-
-    rows = known(source, keys, configuration)
-    if as_json:
-        for item in rows:
-            write_json(row(item))
+    items = load(source, keys, configuration)
+    if not as_json:
+        print_items(items)
         return
-    single: dict[tuple[str, str, int], int] = {}
-    for item in rows:
-        told = row(item)
-        if told["what"] in ("sent", "took"):
-            key = told["what"], item.by, told.get("build", 0)
-            single[key] = single.get(key, 0) + 1
-            continue
-        figures = {name: told[name] for name in FIGURES if told.get(name) not in (None, False)}
-        said = " ".join(f"{n} {v:.3g}" if isinstance(v, float) else f"{n} {v}" for n, v in figures.items())
-        weighs = "" if told["weight"] is None else f" weighs {told['weight']:.2f}"
-        line = (
-            f"{told['what']:>6} {thing(item)}: {said}; {item.age:.1f} s old, by {item.by}, seen {item.seen}"
-        )
-        print(harmless(line + weighs))
-    for (kind, by, build), many in single.items():
-        print(
-            harmless(
-                f"{kind:>6} {many} rows of the last window by {by}" + (f", build {build}" if build else "")
-            )
-        )
+    for item in items:
+        write_json(item_fields(item))
+
+
+def fields_by_identity(items: Iterable[StateItem]) -> dict[str, Fields]:
+    """Returns the fields of all items but those of single events, by the text of what they are of."""
+    from gatebank.state_transfer.items import AdmittedRequest, SentAttempt, identity
+
+    return {
+        str(identity(item)): item_fields(item)
+        for item in items
+        if not isinstance(item, SentAttempt | AdmittedRequest)
+    }
+
+
+def differing_names(first: Fields, second: Fields) -> list[str]:
+    """Returns the names of the first's fields in which the second differs."""
+    return [name for name, value in first.items() if name not in NOT_COMPARED and value != second.get(name)]
 
 
 @app.command()
 def diff(
-    a: Source, b: Source, as_json: AsJson = False, keys: Keys = None, configuration: Deployment = None
+    first_source: FirstSource,
+    second_source: SecondSource,
+    as_json: JsonOption = False,
+    keys: KeysOption = None,
+    configuration: ConfigurationOption = None,
 ) -> None:
     """What one knows and the other does not, and where they differ; ages apart do not count."""
-    from gatebank.capture.records import harmless
-    from gatebank.state_transfer.items import Sent, Took, identity
-
-    tables = []
-    for source in (a, b):
-        rows = known(source, keys, configuration)
-        tables.append({str(identity(each)): row(each) for each in rows if not isinstance(each, Sent | Took)})
-    first, second = tables
-    for key in sorted(first.keys() | second.keys()):
-        one, other = first.get(key), second.get(key)
-        same = (
-            one and other and all(one[n] == other.get(n) for n in one if n not in ("age", "weight", "seen"))
-        )
-        if same:
+    first_items = fields_by_identity(load(first_source, keys, configuration))
+    second_items = fields_by_identity(load(second_source, keys, configuration))
+    for key in sorted(first_items.keys() | second_items.keys()):
+        first = first_items.get(key)
+        second = second_items.get(key)
+        names = differing_names(first, second) if first and second else []
+        if first and second and not names:
             continue
         if as_json:
-            write_json({"a": one, "b": other})
-        elif one and other:
-            names = [n for n in one if one[n] != other.get(n) and n not in ("age", "weight", "seen")]
-            told = ", ".join(f"{n} {one[n]} and {other.get(n)}" for n in names)
-            print(harmless(f"{key}: {told}"))
+            write_json({"a": first, "b": second})
+        elif first and second:
+            values = ", ".join(f"{name} {first[name]} and {second.get(name)}" for name in names)
+            print_line(f"{key}: {values}")
         else:
-            print(harmless(f"{key}: only {a if one else b}"))
+            print_line(f"{key}: only {first_source if first else second_source}")
--- a/gatebank/cli/replay.py
+++ b/gatebank/cli/replay.py
@@ -79,11 +79,11 @@
     if way.lines not in ("recorded", "pooled"):
         refuse(f"--lines: {way.lines!r} is not known; allowed are recorded, pooled")
     try:
-        targets = operators.read(way.orders).all(Target)
+        targets = operators.read_operators_file(way.orders).find_all(Target)
         environment = dict(os.environ) | {"ROUTER_CONFIG": str(way.inside)}
         posting = load_configuration(environment) if way.inside else None
         where = address(way.to, "--to") if way.to else posting.roll
-    except operators.Unusable as trouble:
+    except operators.OperatorsFileError as trouble:
         typer.echo(str(trouble), err=True)
         raise typer.Exit(2) from None
     except ConfigurationError as trouble:
--- /dev/null
+++ b/gatebank/cli/state_sources.py
@@ -0,0 +1,170 @@
+"""Where ``gatebank learn`` has items from: a running instance, a snapshot file or a folder of snapshots."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import ssl
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from gatebank.errors import GatebankError
+from gatebank.keys.tls_stream import TlsStream
+from gatebank.proxy.configuration import Address, ConfigurationError, address, load_configuration
+from gatebank.state_transfer import snapshot
+from gatebank.state_transfer.connection import Connection
+from gatebank.state_transfer.items import StateItem, by_value
+from gatebank.state_transfer.protocol import (
+    Ask,
+    Conversation,
+    FrameKind,
+    Hello,
+    Refusal,
+    TransferProtocolError,
+    deployment_id,
+    encode_frame,
+)
+
+# Seconds until an instance must have answered, with all the times that a busy one is asked again.
+ANSWER_TIMEOUT = 20.0
+# Seconds: snapshots of any age are shown.
+ANY_AGE = 1e9
+
+
+class StateSourceError(GatebankError):
+    """A source has no items to be had.
+
+    Attributes:
+        reason: why, with the source's name.
+    """
+
+    def __init__(self, reason: object) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What an instance sent: all its items, or a refusal with seconds after which to ask again."""
+
+    items: list[StateItem]
+    retry_after: float | None = None
+
+
+def load_items(source: str, keys_folder: Path | None, configuration: Path | None) -> list[StateItem]:
+    """Returns all items of a source, the most valuable first.
+
+    Args:
+        source: address and port of an instance, or path of a snapshot file or folder.
+        keys_folder: for an instance's link; without it the link is plain.
+        configuration: of an instance, whose deployment is asked for.
+
+    Raises:
+        StateSourceError: there is nothing to be had.
+    """
+    path = Path(source)
+    if path.exists():
+        return by_value(load_snapshot(path))
+    try:
+        where = address(source, "source")
+    except ConfigurationError as error:
+        raise StateSourceError(f"{error}, and no such file") from error
+    return by_value(asyncio.run(ask_instance(source, where, keys_folder, configuration)))
+
+
+def load_snapshot(path: Path) -> list[StateItem]:
+    """Returns the items of a snapshot file, or of the newest one in a folder that can be read."""
+    paths = [path]
+    if path.is_dir():
+        paths = [path / name for name in snapshot.FILE_NAMES if (path / name).exists()]
+    loaded: list[snapshot.LoadedSnapshot] = []
+    reason = "no snapshot is there"
+    for each in paths:
+        try:
+            data = each.read_bytes()
+            header = snapshot.decode_header(data)
+            now = max(time.time(), header.at)
+            loaded.append(snapshot.decode_snapshot(data, header.deployment, now, ANY_AGE))
+        except (OSError, snapshot.SnapshotError) as error:
+            reason = f"{each.name}: {getattr(error, 'strerror', None) or error}"
+    if not loaded:
+        raise StateSourceError(f"{path}: {reason}")
+    return max(loaded, key=lambda found: found.header.at).items
+
+
+async def ask_instance(
+    source: str, where: Address, keys_folder: Path | None, configuration: Path | None
+) -> list[StateItem]:
+    """Returns what an instance knows; asks as a receiver does, and its listener decides whether it may."""
+    try:
+        hello = Hello(name="show", deployment=deployment_of(configuration))
+        tls = client_tls(keys_folder)
+    except GatebankError as error:
+        raise StateSourceError(error) from error
+    except ConfigurationError as error:
+        raise StateSourceError(error) from error
+    late_reason = "no answer in time"
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT):
+            # A busy source serves its clients first, and says when to come back.
+            while (reply := await ask_once(where, tls, hello, source)).retry_after is not None:
+                late_reason = "busy"
+                await asyncio.sleep(reply.retry_after)
+    except TransferProtocolError as error:
+        hint = "--configuration tells which deployment is asked"
+        raise StateSourceError(f"{source}: {error}; {hint}") from error
+    except ssl.SSLError as error:
+        raise StateSourceError(f"{source}: TLS: {error.reason or error}") from error
+    except ConnectionError as error:
+        raise StateSourceError(f"{source}: {error.strerror}; is this name among its may_learn?") from error
+    except OSError as error:
+        raise StateSourceError(f"{source}: {error.strerror or late_reason}") from error
+    return reply.items
+
+
+async def ask_once(where: Address, tls: TlsStream | None, hello: Hello, source: str) -> Reply:
+    """Makes one connection to an instance and returns its reply; raises as `Connection` and `feed` do."""
+    conversation = Conversation(hello)
+    items: list[StateItem] = []
+    with contextlib.closing(Connection.to(where, tls)) as connection:
+        await connection.connect(where, ANSWER_TIMEOUT)
+        await connection.send(conversation.hello() + encode_frame(FrameKind.ASK, Ask()))
+        while not conversation.ended:
+            data = await connection.read()
+            if not data:
+                hint = "is this name among its may_learn?"
+                raise StateSourceError(f"{source}: it ended the connection; {hint}")
+            for message in conversation.feed(data):
+                if isinstance(message, Refusal):
+                    return Reply(items, message.retry_after)
+                if isinstance(message, list):
+                    items += message
+    return Reply(items)
+
+
+def deployment_of(configuration: Path | None) -> str:
+    """Returns the deployment of an instance's configuration file; empty without one.
+
+    Raises:
+        ConfigurationError: the file can't be used.
+    """
+    if configuration is None:
+        return ""
+    environment = dict(os.environ) | {"ROUTER_CONFIG": str(configuration)}
+    return deployment_id(load_configuration(environment).settings)
+
+
+def client_tls(keys_folder: Path | None) -> TlsStream | None:
+    """Returns TLS with a folder's keys; None without one.
+
+    Raises:
+        KeyFolderError: the folder can't be used.
+    """
+    if keys_folder is None:
+        return None
+    # Only here is `cryptography` needed: snapshots are shown without it.
+    from gatebank.keys.folder import read_keys
+
+    return TlsStream(read_keys(keys_folder).client, is_server=False)
--- a/gatebank/keys/authority.py
+++ b/gatebank/keys/authority.py
@@ -1,8 +1,8 @@
-"""A small authority and the keys of instances, made with `cryptography`. Bytes out; files are written by
-`commands/keys.py`.
+"""A small certificate authority and the keys of instances. Bytes out; `cli/keys.py` writes the files.
 
-Ed25519 keys; an instance's certificate holds its name as a DNS name and as the common name, for both sides of
-a connection. The authority may sign nothing but instances (path length 0). Form: RFC 5280, RFC 8410.
+Keys are Ed25519. An instance's certificate has its name as a DNS name and as the common name, for both sides
+of a connection. The authority may sign instances only (path length 0). The forms are those of RFC 5280 and
+RFC 8410.
 """
 
 from __future__ import annotations
@@ -15,106 +15,177 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
 
-BACKDATED = timedelta(minutes=5)  # two machines' clocks may differ by some
-AUTHORITY_DAYS, INSTANCE_DAYS = 3650, 90
+from gatebank.errors import GatebankError
 
+# Certificates begin so long before they are made, since the clocks of two machines may differ.
+BACKDATING = timedelta(minutes=5)
+# Days that a certificate lasts by default: an authority outlives its machines, an instance is renewed often.
+AUTHORITY_DAYS = 3650
+INSTANCE_DAYS = 90
+# An authority signs certificates and lists of revoked ones, and nothing else.
+AUTHORITY_USAGE = x509.KeyUsage(
+    digital_signature=False,
+    content_commitment=False,
+    key_encipherment=False,
+    data_encipherment=False,
+    key_agreement=False,
+    key_cert_sign=True,
+    crl_sign=True,
+    encipher_only=False,
+    decipher_only=False,
+)
+INSTANCE_USAGE = x509.ExtendedKeyUsage([ExtendedKeyUsageOID.SERVER_AUTH, ExtendedKeyUsageOID.CLIENT_AUTH])
 
-@dataclass(slots=True, frozen=True)
-class Pair:
-    """A key and its certificate, in PEM."""
 
-    key: bytes
-    certificate: bytes
+class AuthorityError(GatebankError, ValueError):
+    """An authority can't sign.
 
+    Attributes:
+        reason: why not.
+    """
 
-def name(text: str) -> x509.Name:
-    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
-def pem(key: ed25519.Ed25519PrivateKey) -> bytes:
-    form = serialization.PrivateFormat.PKCS8
-    return key.private_bytes(serialization.Encoding.PEM, form, serialization.NoEncryption())
+@dataclass(slots=True, frozen=True)
+class KeyPair:
+    """A private key and its certificate, both in PEM."""
 
+    key: bytes
+    certificate: bytes
 
-def authority(title: str, now: datetime | None = None, days: float = AUTHORITY_DAYS) -> Pair:
-    """A new authority."""
-    key, now = ed25519.Ed25519PrivateKey.generate(), now or datetime.now(UTC)
-    usage = x509.KeyUsage(
-        digital_signature=False, content_commitment=False, key_encipherment=False, data_encipherment=False,
-        key_agreement=False, key_cert_sign=True, crl_sign=True, encipher_only=False, decipher_only=False,
-    )  # fmt: skip
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(name(title))
-        .issuer_name(name(title))
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - BACKDATED)
-        .not_valid_after(now + timedelta(days=days))
-        .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
-        .add_extension(usage, critical=True)
-        .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
-        .sign(key, None)
-    )
-    return Pair(pem(key), certificate.public_bytes(serialization.Encoding.PEM))
 
+@dataclass(slots=True, frozen=True)
+class CertificateInfo:
+    """What a certificate says.
+
+    Attributes:
+        name: of its subject.
+        issuer: name of who signed it.
+        begin, end: when it is valid.
+        fingerprint: SHA-256, in hexadecimal.
+        is_authority: whether it may sign others.
+    """
 
-def instance(of: Pair, who: str, now: datetime | None = None, days: float = INSTANCE_DAYS) -> Pair:
-    """A key for the instance called ``who``, signed by an authority. ValueError if the authority can't."""
-    signer = serialization.load_pem_private_key(of.key, None)
-    issuer = x509.load_pem_x509_certificate(of.certificate)
+    name: str
+    issuer: str
+    begin: datetime
+    end: datetime
+    fingerprint: str
+    is_authority: bool
+
+
+def make_authority(title: str, now: datetime | None = None, days: float = AUTHORITY_DAYS) -> KeyPair:
+    """Returns a new authority.
+
+    Args:
+        title: its name.
+        now: for tests; else the present time.
+        days: that it lasts.
+    """
+    key = ed25519.Ed25519PrivateKey.generate()
+    identifier = x509.SubjectKeyIdentifier.from_public_key(key.public_key())
+    builder = begin_certificate(title, key, now or datetime.now(UTC), days)
+    builder = builder.issuer_name(common_name(title))
+    builder = builder.add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
+    builder = builder.add_extension(AUTHORITY_USAGE, critical=True)
+    builder = builder.add_extension(identifier, critical=False)
+    return key_pair(key, builder.sign(key, None))
+
+
+def make_instance(
+    authority: KeyPair, name: str, now: datetime | None = None, days: float = INSTANCE_DAYS
+) -> KeyPair:
+    """Returns a new key and certificate of an instance.
+
+    Args:
+        authority: signs it; the certificate ends with the authority's at the latest.
+        name: of the instance.
+        now: for tests; else the present time.
+        days: that it lasts.
+
+    Raises:
+        AuthorityError: the authority can't sign.
+        ValueError: its files are no key and certificate.
+    """
+    signer = serialization.load_pem_private_key(authority.key, None)
+    issuer = x509.load_pem_x509_certificate(authority.certificate)
     if not isinstance(signer, ed25519.Ed25519PrivateKey):
-        raise ValueError("the authority's key is not Ed25519")
+        raise AuthorityError("the authority's key is not Ed25519")
     if signer.public_key() != issuer.public_key():
-        raise ValueError("the authority's key and certificate do not belong together")
-    key, now = ed25519.Ed25519PrivateKey.generate(), now or datetime.now(UTC)
-    both = [ExtendedKeyUsageOID.SERVER_AUTH, ExtendedKeyUsageOID.CLIENT_AUTH]
-    certificate = (
+        raise AuthorityError("the authority's key and certificate do not belong together")
+    key = ed25519.Ed25519PrivateKey.generate()
+    identifier = x509.AuthorityKeyIdentifier.from_issuer_public_key(signer.public_key())
+    builder = begin_certificate(name, key, now or datetime.now(UTC), days, issuer.not_valid_after_utc)
+    builder = builder.issuer_name(issuer.subject)
+    builder = builder.add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
+    builder = builder.add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
+    builder = builder.add_extension(INSTANCE_USAGE, critical=False)
+    builder = builder.add_extension(identifier, critical=False)
+    return key_pair(key, builder.sign(signer, None))
+
+
+def begin_certificate(
+    name: str,
+    key: ed25519.Ed25519PrivateKey,
+    now: datetime,
+    days: float,
+    latest_end: datetime | None = None,
+) -> x509.CertificateBuilder:
+    """Returns what certificates of authorities and instances have alike: subject, key, number and time."""
+    end = now + timedelta(days=days)
+    if latest_end is not None:
+        end = min(end, latest_end)
+    return (
         x509.CertificateBuilder()
-        .subject_name(name(who))
-        .issuer_name(issuer.subject)
+        .subject_name(common_name(name))
         .public_key(key.public_key())
         .serial_number(x509.random_serial_number())
-        .not_valid_before(now - BACKDATED)
-        .not_valid_after(min(now + timedelta(days=days), issuer.not_valid_after_utc))
-        .add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
-        .add_extension(x509.SubjectAlternativeName([x509.DNSName(who)]), critical=False)
-        .add_extension(x509.ExtendedKeyUsage(both), critical=False)
-        .add_extension(
-            x509.AuthorityKeyIdentifier.from_issuer_public_key(signer.public_key()), critical=False
-        )
-        .sign(signer, None)
+        .not_valid_before(now - BACKDATING)
+        .not_valid_after(end)
     )
-    return Pair(pem(key), certificate.public_bytes(serialization.Encoding.PEM))
 
 
-@dataclass(slots=True, frozen=True)
-class Shown:
-    """What a certificate says."""
+def common_name(name: str) -> x509.Name:
+    """Returns a subject or issuer of this name."""
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
 
-    name: str
-    issuer: str
-    begin: datetime
-    end: datetime
-    fingerprint: str
-    authority: bool
-
-
-def shown(certificate: bytes) -> list[Shown]:
-    """Of all certificates in a PEM file; ValueError if it holds none."""
-    found = []
-    for each in x509.load_pem_x509_certificates(certificate):
-        try:
-            told = each.extensions.get_extension_for_class(x509.BasicConstraints).value.ca
-        except x509.ExtensionNotFound:
-            told = False
-        print_ = each.fingerprint(hashes.SHA256()).hex()
-        title, issuer = common(each.subject), common(each.issuer)
-        ends = each.not_valid_before_utc, each.not_valid_after_utc
-        found.append(Shown(title, issuer, *ends, print_, bool(told)))
-    return found
-
-
-def common(told: x509.Name) -> str:
-    found = told.get_attributes_for_oid(NameOID.COMMON_NAME)
-    return str(found[0].value) if found else told.rfc4514_string()
+
+def key_pair(key: ed25519.Ed25519PrivateKey, certificate: x509.Certificate) -> KeyPair:
+    """Returns both in PEM; the key is not encrypted, its file's mode protects it."""
+    encoding = serialization.Encoding.PEM
+    private = key.private_bytes(encoding, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+    return KeyPair(private, certificate.public_bytes(encoding))
+
+
+def read_certificates(data: bytes) -> list[CertificateInfo]:
+    """Returns what all certificates of a PEM file say.
+
+    Raises:
+        ValueError: it has none, or one that can't be read.
+    """
+    return [describe(certificate) for certificate in x509.load_pem_x509_certificates(data)]
+
+
+def describe(certificate: x509.Certificate) -> CertificateInfo:
+    """Returns what a certificate says."""
+    try:
+        is_authority = certificate.extensions.get_extension_for_class(x509.BasicConstraints).value.ca
+    except x509.ExtensionNotFound:
+        is_authority = False
+    return CertificateInfo(
+        name=display_name(certificate.subject),
+        issuer=display_name(certificate.issuer),
+        begin=certificate.not_valid_before_utc,
+        end=certificate.not_valid_after_utc,
+        fingerprint=certificate.fingerprint(hashes.SHA256()).hex(),
+        is_authority=is_authority,
+    )
+
+
+def display_name(name: x509.Name) -> str:
+    """Returns the common name, or all of a name that has none."""
+    attributes = name.get_attributes_for_oid(NameOID.COMMON_NAME)
+    return str(attributes[0].value) if attributes else name.rfc4514_string()
--- a/gatebank/operator_config/operators_file.py
+++ b/gatebank/operator_config/operators_file.py
@@ -1,73 +1,123 @@
-"""The operators' file, read and checked whole: every fault in it is told at once, with file and line."""
+"""The operators' file, read and checked whole: all errors in it are reported at once, with file and line."""
 
 from __future__ import annotations
 
 import importlib
 from collections.abc import Sequence
 from pathlib import Path
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
-from gatebank.operator_config import script
-from gatebank.operator_config.sections import Fault, Section
+from gatebank.errors import GatebankError
+from gatebank.operator_config.script import run_script
+from gatebank.operator_config.sections import Section, SectionCall, SectionError
 
-# Where sections are declared, each beside the code of its direction.
-DECLARED = (
+# Where sections are declared, each beside the code that it is for.
+SECTION_MODULES = (
     "gatebank.recording.section",
     "gatebank.replay.section",
     "gatebank.state_transfer.section",
     "gatebank.keys.section",
 )
-MOST_FAULTS = 20  # told of one file
-One = TypeVar("One", bound=Section)
+MAX_ERRORS = 20  # reported of one file: more than that is one mistake many times
+SectionT = TypeVar("SectionT", bound=Section)
 
 
-class Unusable(Exception):
-    """The file can't be used; a line for each fault, `file:line: what`."""
+class OperatorsFileError(GatebankError):
+    """The file can't be used; its text has a line for each error, `file:line: what`.
+
+    Attributes:
+        path: of the file.
+        errors: all of them.
+    """
+
+    def __init__(self, path: Path, errors: Sequence[SectionError]) -> None:
+        super().__init__(path, errors)
+        self.path = path
+        self.errors = errors
+
+    def __str__(self) -> str:
+        lines = [
+            f"{self.path}:{error}" if error.line else f"{self.path}: {error}"
+            for error in self.errors[:MAX_ERRORS]
+        ]
+        if len(self.errors) > MAX_ERRORS:
+            lines.append(f"and {len(self.errors) - MAX_ERRORS} more")
+        return "\n".join(lines)
+
+
+class PlacedSection(NamedTuple):
+    """A section and the line of its call."""
+
+    section: Section
+    line: int
 
 
 class OperatorsFile:
-    """All sections of a file, in its order. ``folder`` is where its relative paths begin."""
+    """All sections of a file.
 
-    def __init__(self, path: Path, sections: Sequence[tuple[Section, int]]) -> None:
-        self.path, self.folder, self.sections = path, path.resolve().parent, sections
+    Attributes:
+        path: of the file.
+        folder: where its relative paths begin.
+        sections: in the file's order.
+    """
 
-    def all(self, kind: type[One]) -> list[One]:
-        return [each for each, _ in self.sections if isinstance(each, kind)]
+    def __init__(self, path: Path, sections: Sequence[PlacedSection]) -> None:
+        self.path = path
+        self.folder = path.resolve().parent
+        self.sections = sections
 
-    def one(self, kind: type[One]) -> One | None:
-        return next(iter(self.all(kind)), None)
+    def find_all(self, kind: type[SectionT]) -> list[SectionT]:
+        """Returns all sections of a kind, in the file's order."""
+        return [placed.section for placed in self.sections if isinstance(placed.section, kind)]
 
-    def line(self, section: Section) -> int:
-        return next((line for each, line in self.sections if each is section), 0)
+    def find(self, kind: type[SectionT]) -> SectionT | None:
+        """Returns the first section of a kind, None if there is none."""
+        return next(iter(self.find_all(kind)), None)
 
 
-def known() -> dict[str, type[Section]]:
-    for module in DECLARED:
+def section_kinds() -> dict[str, type[Section]]:
+    """Returns all kinds of sections by name, importing the modules that declare them."""
+    for module in SECTION_MODULES:
         importlib.import_module(module)
-    return {name: kind for name, kind in Section.known.items() if kind.__module__ in DECLARED}
+    return {name: kind for name, kind in Section.registered.items() if kind.__module__ in SECTION_MODULES}
+
 
+def read_operators_file(path: Path) -> OperatorsFile:
+    """Returns a file's sections.
 
-def read(path: Path) -> OperatorsFile:
+    Raises:
+        OperatorsFileError: it can't be read, or anything in it is wrong.
+    """
     try:
         text = path.read_text()
-    except (OSError, UnicodeDecodeError) as trouble:
-        raise Unusable(f"{path}: {getattr(trouble, 'strerror', None) or trouble}") from trouble
-    kinds, built, faults = known(), list[tuple[Section, int]](), list[Fault]()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = str(getattr(error, "strerror", None) or error)
+        raise OperatorsFileError(path, [SectionError(0, reason)]) from error
+    kinds = section_kinds()
     try:
-        for call in script.calls(text, path.name, kinds):
-            kind = kinds[call.section]
-            if found := kind.faults(call.fields, call.lines, call.line):
-                faults += found
-                continue
-            one = kind.build(call.fields, call.lines, call.line)
-            twice = next((line for each, line in built if kind.once and isinstance(each, kind)), None)
-            if twice is not None:
-                faults.append(Fault(call.line, f"{call.section} stands twice, first in line {twice}"))
-            built.append((one, call.line))
-    except Fault as trouble:
-        faults.append(trouble)
-    if faults:
-        more = [f"and {len(faults) - MOST_FAULTS} more"] if len(faults) > MOST_FAULTS else []
-        said = [f"{path}:{each}" if each.line else f"{path}: {each}" for each in faults[:MOST_FAULTS]]
-        raise Unusable("\n".join(said + more))
-    return OperatorsFile(path, built)
+        calls = run_script(text, path.name, kinds)
+    except SectionError as error:
+        raise OperatorsFileError(path, [error]) from None
+    sections, errors = build_sections(calls, kinds)
+    if errors:
+        raise OperatorsFileError(path, errors)
+    return OperatorsFile(path, sections)
+
+
+def build_sections(
+    calls: Sequence[SectionCall], kinds: dict[str, type[Section]]
+) -> tuple[list[PlacedSection], list[SectionError]]:
+    """Returns the sections of all calls that are right, and the errors of the others."""
+    sections: list[PlacedSection] = []
+    errors: list[SectionError] = []
+    for call in calls:
+        kind = kinds[call.section]
+        if found := kind.find_errors(call):
+            errors += found
+            continue
+        earlier = next((placed for placed in sections if isinstance(placed.section, kind)), None)
+        if kind.once and earlier:
+            reason = f"{call.section} stands twice, first in line {earlier.line}"
+            errors.append(SectionError(call.line, reason))
+        sections.append(PlacedSection(kind.build(call), call.line))
+    return sections, errors
--- a/gatebank/operator_config/sections.py
+++ b/gatebank/operator_config/sections.py
@@ -1,6 +1,6 @@
-"""What a section of the operators' file is, and how a call of one is checked. No I/O.
+r"""What a section of the operators' file is, and how a call of one is checked. No I/O.
 
-A direction declares its section beside its code:
+A package declares its section beside its code:
 
 >>> class Lamp(Section, kw_only=True, frozen=True):
 ...     section: ClassVar[str] = "lamp"
@@ -9,143 +9,202 @@
 ...     def check(self):
 ...         if self.watts < 1:
 ...             yield "watts", "must be at least 1"
->>> Lamp.build({"watts": 5}, {}).watts
+>>> Lamp.build(SectionCall("lamp", {"watts": 5})).watts
 5
->>> for trouble in Lamp.faults({"watts": "0", "color": "blue"}, {"watts": 7}, 6):
-...     print(trouble)
+>>> call = SectionCall("lamp", {"watts": "0", "color": "blue"}, line=6, field_lines={"watts": 7})
+>>> for error in Lamp.find_errors(call):
+...     print(error)
 7: lamp: watts = "0": Expected `int`, got `str`; allowed is a whole number
 6: lamp: color: no such field; did you mean 'colour'? known are watts, colour
->>> print(*Lamp.faults({"watts": 0}, {}, 6))
+>>> print(*Lamp.find_errors(SectionCall("lamp", {"watts": 0}, line=6)))
 6: lamp: watts = 0: must be at least 1
 """
 
 from __future__ import annotations
 
 import difflib
-from collections.abc import Iterator, Mapping
-from typing import Any, ClassVar, get_type_hints
+from collections.abc import Iterator
+from typing import Any, ClassVar, Self
 
 import msgspec
+from msgspec import field, inspect
 
-MOST_SHOWN = 60  # characters of a value in a message
+from gatebank.errors import GatebankError
 
+MAX_SHOWN = 60  # characters of a value in a message, which is one line
 
-class Fault(Exception):
-    """Something in the operators' file; ``line`` is 0 where it is of no one line."""
 
-    def __init__(self, line: int, why: str) -> None:
-        super().__init__(line, why)
-        self.line, self.why = line, why
+class SectionError(GatebankError):
+    """Something wrong in the operators' file.
+
+    Attributes:
+        line: in the file, from 1; 0 where it is of no one line.
+        reason: what is wrong, with section and field.
+    """
+
+    def __init__(self, line: int, reason: str) -> None:
+        super().__init__(line, reason)
+        self.line = line
+        self.reason = reason
 
     def __str__(self) -> str:
-        return f"{self.line}: {self.why}" if self.line else self.why
+        return f"{self.line}: {self.reason}" if self.line else self.reason
+
+
+class SectionCall(msgspec.Struct):
+    """One call of a section in the script, as `child.py` prints it.
+
+    Attributes:
+        section: its name.
+        fields: values by the names in the file; plain numbers, strings, lists and maps.
+        line: of the call; 0 if it is not known.
+        field_lines: of fields, as far as they are known.
+    """
+
+    section: str
+    fields: dict[str, Any]
+    line: int = 0
+    field_lines: dict[str, int] = field(default_factory=dict, name="lines")
+
+    def line_of(self, name: str) -> int:
+        """Returns the line of a field, or of the call if that is not known."""
+        return self.field_lines.get(name, self.line)
 
 
 class Section(msgspec.Struct, kw_only=True, frozen=True):
-    """A schema: each field's type tells what is allowed (msgspec.Meta), `check` what they are together.
-    Subclasses say `kw_only=True, frozen=True` and name themselves in `section`."""
+    """A schema of a section.
+
+    A field's type says what is allowed (`msgspec.Meta`), its encoded name is the name in the file, and
+    `check` says which fields do not go together. Subclasses are declared with `kw_only=True, frozen=True`.
+
+    Attributes:
+        section: its name in the file.
+        once: whether it may be called only once.
+        registered: all sections that have been imported, by name.
+    """
 
     section: ClassVar[str] = ""
     once: ClassVar[bool] = False
-    known: ClassVar[dict[str, type[Section]]] = {}
+    registered: ClassVar[dict[str, type[Section]]] = {}
 
     def __init_subclass__(cls) -> None:
         super().__init_subclass__()
-        Section.known[cls.section] = cls
+        Section.registered[cls.section] = cls
 
     def check(self) -> Iterator[tuple[str, str]]:
-        """Fields that do not go together, and why."""
+        """Yields names of fields that do not go together, each with the reason."""
         return iter(())
 
     @classmethod
     def fields(cls) -> dict[str, msgspec.structs.FieldInfo]:
-        return {each.name: each for each in msgspec.structs.fields(cls)}
+        """Returns the fields by their names in the file."""
+        return {info.encode_name: info for info in msgspec.structs.fields(cls)}
 
     @classmethod
-    def faults(cls, told: Mapping[str, Any], lines: Mapping[str, int], line: int) -> list[Fault]:
-        """All that is wrong with a call: with each field, or else with all together."""
-        hints, found = get_type_hints(cls, include_extras=True), list[Fault]()
-        for name, value in told.items():
-            at = lines.get(name, line)
-            if name not in cls.fields():
-                near = difflib.get_close_matches(name, cls.fields(), 1)
-                guess = f"; did you mean {near[0]!r}?" if near else ";"
-                known = ", ".join(cls.fields())
-                found.append(Fault(at, f"{cls.section}: {name}: no such field{guess} known are {known}"))
-                continue
-            try:
-                msgspec.convert(value, hints[name])
-            except msgspec.ValidationError as trouble:
-                why = f"{plain(trouble)}; allowed is {allowed(hints[name])}"
-                found.append(Fault(at, f"{cls.section}: {name} = {shown(value)}: {why}"))
-        for name, each in cls.fields().items():
-            if each.required and name not in told:
-                found.append(Fault(line, f"{cls.section}: {name} is missing"))
-        if not found:
-            one = msgspec.convert(dict(told), cls)
-            for name, why in one.check():
-                value = f" = {shown(told[name])}" if name in told else ""
-                found.append(Fault(lines.get(name, line), f"{cls.section}: {name}{value}: {why}"))
-        return found
+    def find_errors(cls, call: SectionCall) -> list[SectionError]:
+        """Returns all that is wrong with a call: with each field, or else with all of them together."""
+        errors = [
+            error for name, value in call.fields.items() if (error := cls.field_error(call, name, value))
+        ]
+        for name, info in cls.fields().items():
+            if info.required and name not in call.fields:
+                errors.append(SectionError(call.line, f"{cls.section}: {name} is missing"))
+        if errors:
+            return errors
+        for name, reason in msgspec.convert(call.fields, cls).check():
+            value = f" = {shown(call.fields[name])}" if name in call.fields else ""
+            errors.append(SectionError(call.line_of(name), f"{cls.section}: {name}{value}: {reason}"))
+        return errors
 
     @classmethod
-    def build(cls, told: Mapping[str, Any], lines: Mapping[str, int], line: int = 0) -> Any:
-        if found := cls.faults(told, lines, line):
-            raise found[0]
-        return msgspec.convert(dict(told), cls)
+    def field_error(cls, call: SectionCall, name: str, value: object) -> SectionError | None:
+        """Returns what is wrong with one field by itself, None if nothing is."""
+        fields = cls.fields()
+        line = call.line_of(name)
+        if name not in fields:
+            close = difflib.get_close_matches(name, fields, 1)
+            guess = f"; did you mean {close[0]!r}?" if close else ";"
+            known = ", ".join(fields)
+            return SectionError(line, f"{cls.section}: {name}: no such field{guess} known are {known}")
+        try:
+            msgspec.convert(value, fields[name].type)
+        except msgspec.ValidationError as error:
+            reason = f"{plain_text(error)}; allowed is {allowed(fields[name].type)}"
+            return SectionError(line, f"{cls.section}: {name} = {shown(value)}: {reason}")
+        return None
+
+    @classmethod
+    def build(cls, call: SectionCall) -> Self:
+        """Returns the section of a call.
+
+        Raises:
+            SectionError: the first of `find_errors`.
+        """
+        if errors := cls.find_errors(call):
+            raise errors[0]
+        return msgspec.convert(call.fields, cls)
 
 
-def shown(value: Any) -> str:
-    """A value as the script would have it, on one line, cut short.
+def shown(value: object) -> str:
+    r"""Returns a value as the script would have it, on one line, cut to ``MAX_SHOWN`` characters.
 
-    >>> shown("a\\nb"), shown([True, None]), len(shown("x" * 1000))
-    ('"a\\\\nb"', '[True, None]', 60)
+    >>> shown("a\nb"), shown([True, None]), len(shown("x" * 1000))
+    ('"a\\nb"', '[True, None]', 60)
     """
     match value:
         case str():
-            said = msgspec.json.encode(value).decode()
+            text = msgspec.json.encode(value).decode()
         case list():
-            said = "[" + ", ".join(map(shown, value[:MOST_SHOWN])) + "]"
+            text = "[" + ", ".join(map(shown, value[:MAX_SHOWN])) + "]"
         case _:
-            said = repr(value)
-    return said if len(said) <= MOST_SHOWN else said[: MOST_SHOWN - 1] + "…"
+            text = repr(value)
+    return text if len(text) <= MAX_SHOWN else text[: MAX_SHOWN - 1] + "…"
 
 
-def plain(trouble: msgspec.ValidationError) -> str:
-    """
-    >>> plain(msgspec.ValidationError("Expected `int`, got `str` - at `$[0]`"))
+def plain_text(error: msgspec.ValidationError) -> str:
+    """Returns the text of an error without the mark of the value's root.
+
+    >>> plain_text(msgspec.ValidationError("Expected `int`, got `str` - at `$[0]`"))
     'Expected `int`, got `str` - at [0]'
     """
-    return str(trouble).replace("`$", "").replace("]`", "]")
+    return str(error).replace("`$", "").replace("]`", "]")
 
 
-def allowed(hint: Any) -> str:
-    """What a field may hold, for people.
+def allowed(hint: object) -> str:
+    """Returns what a field of a type may hold, for people.
 
     >>> from typing import Annotated, Literal
     >>> allowed(Annotated[int, msgspec.Meta(ge=1, le=9)]), allowed(list[Literal["a", "b"]]), allowed(bool)
     ('a whole number from 1 to 9', 'a list of "a" or "b"', 'True or False')
     """
-    return worded(msgspec.inspect.type_info(hint))
+    return describe_type(inspect.type_info(hint))
 
 
-def worded(kind: Any) -> str:
-    kinds = msgspec.inspect
+def describe_type(kind: inspect.Type) -> str:
+    """Returns what values of a type are called."""
     match kind:
-        case kinds.LiteralType():
-            return " or ".join(map(shown, kind.values))
-        case kinds.ListType():
-            return f"a list of {worded(kind.item_type)}"
-        case kinds.UnionType():
-            return " or ".join(map(worded, kind.types))
-        case kinds.BoolType():
-            return "True or False"
-        case kinds.NoneType():
-            return "None"
-        case kinds.StrType():
-            return "a string" + (" that is not empty" if kind.min_length else "")
-        case kinds.IntType() | kinds.FloatType():
-            said = "a whole number" if isinstance(kind, kinds.IntType) else "a number"
-            ends = (("from", kind.ge), ("above", kind.gt), ("to", kind.le), ("below", kind.lt))
-            return " ".join([said, *(f"{word} {end:g}" for word, end in ends if end is not None)])
-    return type(kind).__name__.removesuffix("Type").lower()
+        case inspect.LiteralType():
+            text = " or ".join(map(shown, kind.values))
+        case inspect.ListType():
+            text = f"a list of {describe_type(kind.item_type)}"
+        case inspect.UnionType():
+            text = " or ".join(map(describe_type, kind.types))
+        case inspect.BoolType():
+            text = "True or False"
+        case inspect.NoneType():
+            text = "None"
+        case inspect.StrType():
+            text = "a string that is not empty" if kind.min_length else "a string"
+        case inspect.IntType():
+            text = "a whole number" + describe_range(kind)
+        case inspect.FloatType():
+            text = "a number" + describe_range(kind)
+        case _:
+            text = type(kind).__name__.removesuffix("Type").lower()
+    return text
+
+
+def describe_range(kind: inspect.IntType | inspect.FloatType) -> str:
+    """Returns the limits of a number, with a space in front; empty if it has none."""
+    limits = (("from", kind.ge), ("above", kind.gt), ("to", kind.le), ("below", kind.lt))
+    return "".join(f" {word} {limit:g}" for word, limit in limits if limit is not None)
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:  # not even imported where no operators' file asks for them
     from gatebank.operator_config.operators_file import OperatorsFile
     from gatebank.recording.recorder import Recorder
-    from gatebank.state_transfer.session import Learning
+    from gatebank.state_transfer.session import StateTransfer
 
 ALSO = 24  # descriptors for the loop, listener, discovery, desk, datagrams, log and those in between
 EVERY = 1.0  # s between sweeps
@@ -139,14 +139,14 @@
     told: asyncio.Event,
     environment: Mapping[str, str],
     following: ControlPlaneWatches,
-    learning: Learning | None,
+    learning: StateTransfer | None,
 ) -> None:
     """After each SIGHUP: the file is read and checked whole; until it can be, what was told before stands."""
     pause, why = AGAIN, ""
     while True:
         await told.wait()
         if learning:
-            learning.look()
+            learning.reload_keys()
         try:
             posting = load_configuration(environment)
             at_start(posting, EndpointRegistry(posting.settings))
@@ -171,7 +171,7 @@
     from gatebank.recording.recorder import Recorder, Unrecordable
     from gatebank.recording.section import Recording
 
-    if (told := operators.one(Recording)) is None:
+    if (told := operators.find(Recording)) is None:
         return None
     try:
         recorder = Recorder(told, operators.folder, posting.name)
@@ -183,19 +183,19 @@
 
 def learning_for(
     posting: Configuration, operators: OperatorsFile | None, exchange: Dispatcher
-) -> Learning | None:
+) -> StateTransfer | None:
     """What the operators' file says of learning; without it nothing of that is imported."""
     if operators is None:
         return None
-    from gatebank.state_transfer.section import LearningOrders
+    from gatebank.state_transfer.section import StateTransferSection
 
-    if (told := operators.one(LearningOrders)) is None:
+    if (told := operators.find(StateTransferSection)) is None:
         return None
-    from gatebank.keys.section import KeysFolder
-    from gatebank.state_transfer.session import Learning
+    from gatebank.keys.section import KeysSection
+    from gatebank.state_transfer.session import StateTransfer
 
     try:
-        found = Learning(told, operators.one(KeysFolder), operators.folder, exchange, posting.name)
+        found = StateTransfer(told, operators.find(KeysSection), operators.folder, exchange, posting.name)
         found.listen()
     except ConfigurationError as trouble:
         raise ConfigurationError(f"{operators.path}: {trouble}") from trouble
@@ -223,7 +223,7 @@
     leaving, told = asyncio.Event(), asyncio.Event()
     following = ControlPlaneWatches(exchange, register, desk)
     tasks: list[asyncio.Future[None]] = []
-    learning: Learning | None = None
+    learning: StateTransfer | None = None
     try:
         try:
             if posting.peer_listen and settings.limits.may_message_peers:
--- a/gatebank/state_transfer/__init__.py
+++ b/gatebank/state_transfer/__init__.py
@@ -1,14 +1,27 @@
-"""A starting marshal learns from running ones, and from its own last snapshot, what they know.
-
-    knowledge.py  what is known, as data with its age, origin and weight; the wire's and the snapshot's form
-    weighing.py   what a learner believes of it; no I/O
-    taking.py     a marshal's knowledge into that form, and beliefs back into the brain's door; no I/O
-    protocol.py   frames and the two sides' conversation; bytes in, words out; no I/O
-    asking.py     whom to ask, when, and when to stop; no I/O
-    teaching.py   whom to teach, how much, and when to refuse; no I/O
-    snapshot.py   two files in turn, checksummed
-    link.py       sockets and TLS, in the service
-    section.py    `learning(...)` in the operators' file
-
-Not imported unless the operators' file has such a section.
+"""An instance that starts inherits state from running instances and from its own last snapshot.
+
+Without I/O:
+
+    items.py             what is known, as data with age, origin and outcomes; the stored form
+    weighting.py         what a receiver believes of the items that it was sent
+    balancer_state.py    the balancer's tables to items, and merged items back to the balancer
+    protocol.py          frames and the conversation; bytes in, messages out
+    receiver.py          which sources to ask, when, and when to stop
+    source.py            how many receivers to serve, how fast, and when to refuse
+    section.py           `learning(...)` in the operators' file
+
+With I/O:
+
+    snapshot.py          two files that are written in turn, with checksums
+    connection.py        one connection, with TLS or plain
+    background_tasks.py  owner of the tasks
+    local_state.py       this instance's state for the parts below
+    peer_keys.py         the keys of connections, renewed in service
+    receiving.py         asks sources and merges what they send
+    serving.py           listens, and sends to receivers
+    snapshot_store.py    writes snapshots from time to time, and at shutdown
+    session.py           starts, owns and ends all of it
+
+docs/learning.md says what is transferred, from whom, and how it is weighed. Nothing of this is imported
+unless the operators' file has such a section.
 """
--- a/gatebank/state_transfer/balancer_state.py
+++ b/gatebank/state_transfer/balancer_state.py
@@ -16,19 +16,20 @@
 from gatebank.settings import Settings
 from gatebank.state import Node
 from gatebank.state_transfer.items import (
-    Cold,
-    Health,
-    Known,
-    News,
-    Past,
-    Sent,
-    Sums,
-    Times,
-    Took,
+    AdmittedRequest,
+    BaselineFailures,
+    EndpointHealth,
+    RatioSum,
+    ReleaseReport,
+    SentAttempt,
+    SequentialTestSums,
+    SlowStartRate,
+    StateItem,
+    UsualLatency,
     identity,
     newest,
 )
-from gatebank.state_transfer.weighting import MOST_AGE, Belief, HalfLives, Process, believe
+from gatebank.state_transfer.weighting import MAX_AGE, EndpointProcess, HalfLives, MergedState, merge_items
 
 MOST_ROWS = 4096  # of single shots and invocations in one telling: a window of 2 s at 2,000 a second
 SLICE = 256  # nodes told of in one turn: about a millisecond
@@ -60,9 +61,9 @@
 class Learnt:
     """What was taught, with when it came: each goes when it is too old, replaced, or seen for oneself."""
 
-    rows: dict[object, tuple[Known, float]] = field(default_factory=dict)
+    rows: dict[object, tuple[StateItem, float]] = field(default_factory=dict)
 
-    def put(self, items: Iterable[Known], now: float) -> int:
+    def put(self, items: Iterable[StateItem], now: float) -> int:
         """How many were news: not held as young from the same origin."""
         fresh = 0
         for item in newest(items):
@@ -76,10 +77,10 @@
                 del self.rows[key]
         return fresh
 
-    def items(self, now: float) -> list[Known]:
+    def items(self, now: float) -> list[StateItem]:
         """As old as they are by now; what is too old goes."""
         for key, (item, came) in list(self.rows.items()):
-            if item.age + now - came > MOST_AGE:
+            if item.age + now - came > MAX_AGE:
                 del self.rows[key]
         return [item.older(now - came) for item, came in self.rows.values()]  # type: ignore[misc]
 
@@ -92,20 +93,25 @@
     learnt: Learnt | None = None,
     life: int | None = None,
     single: bool = False,
-) -> Iterator[list[Known]]:
+) -> Iterator[list[StateItem]]:
     """All that a marshal called ``name`` knows at ``now`` (the brain's clock), the most valuable first, in
     slices that each take a turn of the loop or less: time may pass between them. ``single``: the window's
     single shots and invocations too."""
-    mine = {"by": name, "life": marshal.life if life is None else life}
+    mine = {"origin": name, "incarnation": marshal.life if life is None else life}
     rows = [(index, node) for index, node in marshal.nodes.items() if node.seen and names.nodes[index]]
     seen = {names.nodes[index] for index, node in rows if node.seen >= OWN}
     # A former life's single rows are of use to nobody but a later start of that name, from its own snapshot.
     passed = [
         item
         for item in (learnt.items(now) if learnt else ())
-        if not isinstance(item, Sent | Took) and not (isinstance(item, Health) and item.node in seen)
+        if not isinstance(item, SentAttempt | AdmittedRequest)
+        and not (isinstance(item, EndpointHealth) and item.endpoint in seen)
+    ]
+    urgent = [
+        item
+        for item in passed
+        if isinstance(item, ReleaseReport | SlowStartRate) or getattr(item, "ejected", False)
     ]
-    urgent = [item for item in passed if isinstance(item, News | Cold) or getattr(item, "aside", False)]
     yield [
         *word(marshal, mine),
         *cold(marshal, names, mine, now),
@@ -124,15 +130,15 @@
         yield rest[at : at + SLICE]
 
 
-def word(marshal: Balancer, mine: Mapping[str, Any]) -> Iterator[Known]:
+def word(marshal: Balancer, mine: Mapping[str, Any]) -> Iterator[StateItem]:
     news = marshal.news
     if news and None not in (news.build, news.stage, news.phase):
         cap = None if news.cap is None else min(1.0, max(0.0, news.cap))
         place = {"build": news.build, "stage": news.stage, "phase": int(news.phase or 0)}
-        yield News(**mine, age=max(0.0, news.age), seen=1, cap=cap, **place)
+        yield ReleaseReport(**mine, age=max(0.0, news.age), outcomes=1, cap=cap, **place)
 
 
-def cold(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
+def cold(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[StateItem]:
     """What this marshal sends nodes that have just started: its shots out over the time that they take."""
     limit, sent = marshal.settings.slow_start.warm_up + 1.0, dict[tuple[str, int, float], int]()
     for node, _, _ in marshal.out.values():
@@ -142,63 +148,75 @@
             sent[key] = sent.get(key, 0) + 1
     for (node_name, build, started), many in sent.items():
         rate = min(1e6, many / max(0.1, marshal.longest))
-        place = {"node": node_name, "build": build, "started": started}
-        yield Cold(**mine, age=0.0, seen=many, rate=rate, **place)
+        place = {"endpoint": node_name, "build": build, "started": started}
+        yield SlowStartRate(**mine, age=0.0, outcomes=many, rate=rate, **place)
 
 
-def health(node: Node, name: str, mine: Mapping[str, Any], now: float) -> Known:
+def health(node: Node, name: str, mine: Mapping[str, Any], now: float) -> StateItem:
     entry = node.entry
-    return Health(
+    return EndpointHealth(
         **mine,
         age=max(0.0, now - node.told_at),
-        seen=node.seen,
-        node=name,
+        outcomes=node.seen,
+        endpoint=name,
         build=entry.build,
         started=entry.started,
-        slow=min(1e4, max(0.0, node.slow)),
-        faults=min(1.0, max(0.0, node.faults)),
-        aside=node.aside,
-        hold=node.hold,
+        latency_ratio=min(1e4, max(0.0, node.slow)),
+        failure_rate=min(1.0, max(0.0, node.faults)),
+        ejected=node.aside,
+        ejection_time=node.hold,
     )
 
 
-def usual(marshal: Balancer, names: Names, mine: Mapping[str, Any]) -> Iterator[Known]:
+def usual(marshal: Balancer, names: Names, mine: Mapping[str, Any]) -> Iterator[StateItem]:
     """What the earlier build does: its failures, and its times."""
     for index, (bad, many, lately) in enumerate(marshal.past):
         if many:
-            row = {"bad": bad, "all": many, "lately": min(1.0, max(0.0, lately))}
-            yield Past(**mine, age=0.0, seen=int(many), ratio=names.ratio(index), **row)
+            rate = min(1.0, max(0.0, lately))
+            row = {"weighted_failures": bad, "weighted_total": many, "recent_rate": rate}
+            yield BaselineFailures(**mine, age=0.0, outcomes=int(many), ratio=names.ratio(index), **row)
     for w, (pace, many) in enumerate(marshal.pace):
         if many:
-            yield Times(**mine, age=0.0, seen=many, workload=names.workloads[w], pace=pace)
+            yield UsualLatency(**mine, age=0.0, outcomes=many, request_class=names.workloads[w], latency=pace)
     for (w, kind), (pace, many) in marshal.earlier_pace.items():
-        row = {"workload": names.workloads[w], "kind": names.kind(kind), "pace": pace}
-        yield Times(**mine, age=0.0, seen=many, **row)
+        row = {"request_class": names.workloads[w], "machine_kind": names.kind(kind), "latency": pace}
+        yield UsualLatency(**mine, age=0.0, outcomes=many, **row)
 
 
-def window(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[Known]:
+def window(marshal: Balancer, names: Names, mine: Mapping[str, Any], now: float) -> Iterator[StateItem]:
     """Single shots at each build, and invocations taken, of the last exposure window."""
     since = now - marshal.settings.release.exposure_window
     shots = [(at, w, build) for build, rows in marshal.sent_to.items() for at, w in rows if at >= since]
     for at, w, build in sorted(shots)[-MOST_ROWS:]:
-        yield Sent(**mine, age=max(0.0, now - at), seen=1, build=build, workload=names.workloads[w])
+        yield SentAttempt(
+            **mine, age=max(0.0, now - at), outcomes=1, build=build, request_class=names.workloads[w]
+        )
     for at, w in [row for row in marshal.taken if row[0] >= since][-MOST_ROWS:]:
-        yield Took(**mine, age=max(0.0, now - at), seen=1, workload=names.workloads[w])
+        yield AdmittedRequest(**mine, age=max(0.0, now - at), outcomes=1, request_class=names.workloads[w])
 
 
-def sums(marshal: Balancer, mine: Mapping[str, Any]) -> list[Known]:
+def sums(marshal: Balancer, mine: Mapping[str, Any]) -> list[StateItem]:
     """The design's sums of the trial at hand: this marshal's own, and what it heard of others' lives."""
     trial = marshal.trial
     if trial is None:
         return []
     place = {"build": trial.build, "stage": trial.stage, "age": 0.0}
     rows = {(marshal.me, marshal.life): {r: s for r, s in enumerate(trial.own) if s[1]}, **trial.heard}
-    found: list[Known] = []
+    found: list[StateItem] = []
     for (peer, life), ratios in rows.items():
         if ratios:
-            whole = {r: (value, min(10**9, seen)) for r, (value, seen) in ratios.items()}
+            whole = {r: RatioSum(value, min(10**9, seen)) for r, (value, seen) in ratios.items()}
             most = max(seen for _, seen in whole.values())
-            found.append(Sums(by=mine["by"], life=life, seen=most, marshal=peer, ratios=whole, **place))
+            found.append(
+                SequentialTestSums(
+                    origin=mine["origin"],
+                    incarnation=life,
+                    outcomes=most,
+                    instance=peer,
+                    ratios=whole,
+                    **place,
+                )
+            )
     return found
 
 
@@ -213,24 +231,28 @@
         self.learnt = Learnt()
         self.window_known = False  # an orderly end's snapshot of this name holds the whole last window
 
-    def put(self, items: list[Known], now: float) -> int:
+    def put(self, items: list[StateItem], now: float) -> int:
         return self.learnt.put([each for each in items if not self.own(each)], now)
 
-    def own(self, item: Known) -> bool:
+    def own(self, item: StateItem) -> bool:
         """This very life's words, come back."""
-        return item.by == self.name and item.life == self.life and not isinstance(item, Sums)
+        return (
+            item.origin == self.name
+            and item.incarnation == self.life
+            and not isinstance(item, SequentialTestSums)
+        )
 
-    def belief(self, now: float) -> Belief:
-        processes: dict[str, Process] = {}
+    def belief(self, now: float) -> MergedState:
+        processes: dict[str, EndpointProcess] = {}
         for index, node in self.marshal.nodes.items():
             if node.entry.condition is Condition.READY and (name := self.names.nodes[index]) is not None:
-                processes[name] = name, node.entry.build, node.entry.started
+                processes[name] = EndpointProcess(name, node.entry.build, node.entry.started)
         span = self.marshal.settings.release.exposure_window
-        found = believe(self.learnt.items(now), processes, self.name, span, self.lives)
+        found = merge_items(self.learnt.items(now), processes, self.name, span, self.lives)
         found.window_known = self.window_known
         return found
 
-    def lore(self, belief: Belief, now: float) -> InheritedState:
+    def lore(self, belief: MergedState, now: float) -> InheritedState:
         """A belief as the brain's door takes it; names that this marshal does not know are left out."""
         marshal, names = self.marshal, self.names
         index = {name: number for number in marshal.nodes if (name := names.nodes[number]) is not None}
@@ -238,7 +260,7 @@
         kinds = {names.kind(number): number for number in range(len(names.kinds))}
         ratios = {names.ratio(number): number for number in range(len(marshal.past))}
         pace, earlier = dict[int, tuple[float, int]](), dict[tuple[int, int], tuple[float, int]]()
-        for (workload, kind), known in belief.times.items():
+        for (workload, kind), known in belief.latencies.items():
             if workload not in workloads:
                 continue
             if not kind:
@@ -247,38 +269,47 @@
                 earlier[workloads[workload], kinds[kind]] = known
         heard = []
         for item in belief.sums:
-            if item.marshal < marshal.settings.instance_count:
+            if item.instance < marshal.settings.instance_count:
                 fit = {r: row for r, row in item.ratios.items() if 0 <= r < len(marshal.past)}
                 heard.append(
-                    (item.marshal, InstanceReport(item.life, item.build, item.stage, 0.0, 0.0, {}, fit))
+                    (
+                        item.instance,
+                        InstanceReport(item.incarnation, item.build, item.stage, 0.0, 0.0, {}, fit),
+                    )
                 )
         span = marshal.settings.release.exposure_window
         since = now - marshal.began  # rows of a former life lie before this one began
         return InheritedState(
             nodes={
-                index[name]: InheritedEndpoint(each.slow, each.faults, each.aside, each.hold, each.cold_rate)
-                for name, each in belief.nodes.items()
+                index[name]: InheritedEndpoint(
+                    each.latency_ratio,
+                    each.failure_rate,
+                    each.ejected,
+                    each.ejection_time,
+                    each.slow_start_rate,
+                )
+                for name, each in belief.endpoints.items()
                 if name in index
             },
             sums=heard,
-            past={ratios[name]: row for name, row in belief.past.items() if name in ratios},
+            past={ratios[name]: row for name, row in belief.baseline.items() if name in ratios},
             pace=pace,
             earlier_pace=earlier,
             sent=[
-                (each.age - since, workloads[each.workload], each.build)
+                (each.age - since, workloads[each.request_class], each.build)
                 for each in belief.sent
-                if each.workload in workloads and 0 <= each.age - since <= span
+                if each.request_class in workloads and 0 <= each.age - since <= span
             ],
             taken=[
-                (each.age - since, workloads[each.workload])
-                for each in belief.took
-                if each.workload in workloads and 0 <= each.age - since <= span
+                (each.age - since, workloads[each.request_class])
+                for each in belief.admitted
+                if each.request_class in workloads and 0 <= each.age - since <= span
             ],
             window_known=belief.window_known,
         )
 
 
-def as_news(told: News, age: float = 0.0) -> ReleaseStatus:
+def as_news(told: ReleaseReport, age: float = 0.0) -> ReleaseStatus:
     phase = Phase(told.phase)
     cap = 0.0 if phase in (Phase.ROLLING_BACK, Phase.ROLLED_BACK) else told.cap
     return ReleaseStatus(ReplyStatus.ACCEPTED, False, told.build, told.stage, phase, cap, told.age + age)
--- a/gatebank/state_transfer/receiver.py
+++ b/gatebank/state_transfer/receiver.py
@@ -1,9 +1,9 @@
-"""Whom a learner asks, when, and when it stops. No I/O: events in, acts out, time handed in.
+"""Which sources a receiver asks, when, and when it stops. No I/O: events in, connections to make out.
 
-Donors are ranked by rendezvous hashing of learner and donor, so that many that start at once spread over the
-fleet; the best two are asked at once, the next as one fails. What refuses says when to come back. All
-attempts together have a budget, and behind ``patience`` the marshal serves without: what comes later is
-merged under way.
+Sources are ranked by rendezvous hashing of receiver and source, so that many receivers that start at once
+spread over the fleet. The first two are asked at once, the next as one fails. A busy source says when to come
+back. All attempts together have a budget, and after ``patience`` seconds the instance serves without waiting
+any longer: what comes later is merged while it serves.
 """
 
 from __future__ import annotations
@@ -13,87 +13,128 @@
 from hashlib import blake2b
 from random import Random
 
-AT_ONCE = 2  # donors: one may be slow, or itself fresh; more teach the same
-FIRST_PAUSE, MOST_PAUSE = 0.1, 5.0  # s before a donor that failed is asked again; twice as long each time
+# Sources asked at the same time: one may be slow, or have just started itself; more know the same.
+CONCURRENT_SOURCES = 2
+# Seconds before a source that failed is asked again, doubled for each attempt at it up to the longer.
+FIRST_BACKOFF = 0.1
+MAX_BACKOFF = 5.0
+# Jitter: a backoff is multiplied by a number drawn evenly from here.
+JITTER = (0.5, 1.5)
 
 
 @dataclass(slots=True, frozen=True)
-class Connect:
-    donor: str
+class ConnectToSource:
+    """The caller is to make a connection to a source, at this time of the caller's clock."""
+
+    source: str
     at: float
 
 
 @dataclass(slots=True)
-class Row:
-    donor: str
-    tries: int = 0
+class SourceProgress:
+    """What became of one source so far; ``asking`` while an attempt runs, ``done`` when none is to follow."""
+
+    source: str
+    attempts: int = 0
     not_before: float = 0.0
-    busy: bool = False
+    asking: bool = False
     done: bool = False
 
 
-def ranked(learner: str, donors: Sequence[str]) -> list[str]:
-    """The donors in the order in which this learner asks them (Thaler and Ravishankar's rendezvous hashing).
+def ranked(receiver: str, sources: Sequence[str]) -> list[str]:
+    """Returns the sources in the order in which this receiver asks them.
+
+    It is Thaler and Ravishankar's rendezvous hashing: a source that goes changes nobody else's order.
 
     >>> order = ranked("m1", ["a", "b", "c", "d"])
-    >>> [each for each in order if each != "b"] == ranked("m1", ["a", "c", "d"])
+    >>> [source for source in order if source != "b"] == ranked("m1", ["a", "c", "d"])
     True
     """
 
-    def score(donor: str) -> bytes:
-        return blake2b(f"{learner}\0{donor}".encode(), digest_size=8).digest()
+    def score(source: str) -> bytes:
+        return blake2b(f"{receiver}\0{source}".encode(), digest_size=8).digest()
+
+    return sorted(sources, key=score, reverse=True)
 
-    return sorted(donors, key=score, reverse=True)
 
+class SourceSelector:
+    """Chooses sources until enough of them have sent their state, or the budget of attempts is spent."""
 
-class Asking:
-    """``enough`` donations end it; so does the budget of attempts."""
+    def __init__(
+        self, receiver: str, sources: Sequence[str], patience: float, max_attempts: int, seed: int
+    ) -> None:
+        """Ranks the sources.
 
-    def __init__(self, learner: str, donors: Sequence[str], patience: float, budget: int, seed: int) -> None:
-        self.rows = {each: Row(each) for each in ranked(learner, donors)}
-        self.patience, self.budget, self.chance = patience, budget, Random(seed)
+        Args:
+            receiver: name of this instance.
+            sources: addresses of the others.
+            patience: seconds that the instance waits with serving.
+            max_attempts: at all sources together.
+            seed: of the jitter.
+        """
+        self.sources = {source: SourceProgress(source) for source in ranked(receiver, sources)}
+        self.patience = patience
+        self.max_attempts = max_attempts
+        self.random = Random(seed)
         self.began = 0.0
-        self.enough = min(AT_ONCE, len(self.rows))
-        self.had = self.spent = 0
+        self.wanted = min(CONCURRENT_SOURCES, len(self.sources))
+        self.received = 0
+        self.attempts = 0
 
-    def begin(self, now: float) -> list[Connect]:
+    def begin(self, now: float) -> list[ConnectToSource]:
+        """Starts the clock of ``patience``; returns the first connections."""
         self.began = now
-        return self.next(now)
-
-    def next(self, now: float) -> list[Connect]:
-        """Whom to ask now, or later."""
-        acts: list[Connect] = []
-        wanted = self.enough - self.had - sum(row.busy for row in self.rows.values())
-        free = [row for row in self.rows.values() if not row.busy and not row.done]
-        # Who was never tried first, in their rank; then who may be asked again soonest.
-        for row in sorted(free, key=lambda row: (row.tries, row.not_before))[: max(0, wanted)]:
-            if self.spent >= self.budget:
+        return self.next_connections(now)
+
+    def next_connections(self, now: float) -> list[ConnectToSource]:
+        """Returns whom to ask now or later, as far as something is still wanted."""
+        connections: list[ConnectToSource] = []
+        missing = self.wanted - self.received - sum(each.asking for each in self.sources.values())
+        free = [progress for progress in self.sources.values() if not progress.asking and not progress.done]
+        # Those that were never asked come first, by rank; then those that may be asked again soonest.
+        free.sort(key=lambda progress: (progress.attempts, progress.not_before))
+        for progress in free[: max(0, missing)]:
+            if self.attempts >= self.max_attempts:
                 break
-            row.busy, row.tries, self.spent = True, row.tries + 1, self.spent + 1
-            acts.append(Connect(row.donor, max(now, row.not_before)))
-        return acts
-
-    def taught(self, donor: str, now: float) -> list[Connect]:
-        row = self.rows[donor]
-        row.busy, row.done = False, True
-        self.had += 1
-        return self.next(now)
-
-    def failed(self, donor: str, now: float, back_in: float | None = None) -> list[Connect]:
-        """It broke, hung, lied or refused: the next is asked, and this one later."""
-        row = self.rows[donor]
-        row.busy = False
-        pause = min(MOST_PAUSE, FIRST_PAUSE * 2 ** (row.tries - 1)) * self.chance.uniform(0.5, 1.5)
-        row.not_before = now + max(pause, back_in or 0.0)
-        return self.next(now)
-
-    def lied(self, donor: str, now: float) -> list[Connect]:
-        """Its figures were none, or it is of another deployment: never again."""
-        row = self.rows[donor]
-        row.busy, row.done = False, True
-        return self.next(now)
-
-    def over(self, now: float) -> bool:
-        """Is the marshal to serve without waiting any more?"""
-        asked = any(row.busy for row in self.rows.values())
-        return self.had >= self.enough or not asked or now - self.began >= self.patience
+            progress.asking = True
+            progress.attempts += 1
+            self.attempts += 1
+            connections.append(ConnectToSource(progress.source, max(now, progress.not_before)))
+        return connections
+
+    def on_received(self, source: str, now: float) -> list[ConnectToSource]:
+        """The source sent all of its state; returns further connections."""
+        self.end_attempts(source)
+        self.received += 1
+        return self.next_connections(now)
+
+    def on_failed(self, source: str, now: float, retry_after: float | None = None) -> list[ConnectToSource]:
+        """The attempt failed or was refused; returns further connections.
+
+        Args:
+            source: it is asked again after a backoff, and the next one in rank before.
+            now: the caller's clock.
+            retry_after: seconds that the source asked for.
+        """
+        progress = self.sources[source]
+        progress.asking = False
+        backoff = min(MAX_BACKOFF, FIRST_BACKOFF * 2 ** (progress.attempts - 1))
+        backoff *= self.random.uniform(*JITTER)
+        progress.not_before = now + max(backoff, retry_after or 0.0)
+        return self.next_connections(now)
+
+    def on_invalid(self, source: str, now: float) -> list[ConnectToSource]:
+        """What it sent can't be used, or it is of another deployment: it is not asked again."""
+        self.end_attempts(source)
+        return self.next_connections(now)
+
+    def end_attempts(self, source: str) -> None:
+        """Asks this source no more."""
+        progress = self.sources[source]
+        progress.asking = False
+        progress.done = True
+
+    def may_serve(self, now: float) -> bool:
+        """Returns whether the instance is to serve without waiting any longer."""
+        asking = any(progress.asking for progress in self.sources.values())
+        return self.received >= self.wanted or not asking or now - self.began >= self.patience
--- /dev/null
+++ b/gatebank/state_transfer/receiving.py
@@ -0,0 +1,169 @@
+"""The receiver in service: connections to sources, and what they send merged as it comes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import ssl
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gatebank.proxy.configuration import address
+from gatebank.proxy.log import say
+from gatebank.state_transfer.background_tasks import BackgroundTasks
+from gatebank.state_transfer.connection import Connection
+from gatebank.state_transfer.items import InvalidItemError
+from gatebank.state_transfer.local_state import LocalState
+from gatebank.state_transfer.protocol import (
+    Ask,
+    Conversation,
+    FrameKind,
+    Refusal,
+    TransferProtocolError,
+    encode_frame,
+)
+from gatebank.state_transfer.receiver import ConnectToSource, SourceSelector
+from gatebank.state_transfer.section import StateTransferSection
+
+if TYPE_CHECKING:
+    from gatebank.state_transfer.peer_keys import PeerKeys
+
+# Seconds without a byte: a source encodes a part in a millisecond.
+SILENCE_TIMEOUT = 2.0
+# Seconds for one transfer, connection and all: the largest, 64 MiB, at the default bytes a second.
+TRANSFER_TIMEOUT = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class TransferResult:
+    """How a transfer ended: the number of new items, or seconds after which to ask again."""
+
+    new_items: int = 0
+    retry_after: float | None = None
+
+
+class StateReceiver:
+    """Asks sources until the selector has enough.
+
+    Attributes:
+        may_serve: set once the instance is not to wait any longer.
+        completed: transfers that came whole.
+        failed: attempts that failed; busy sources do not count.
+    """
+
+    def __init__(
+        self, section: StateTransferSection, state: LocalState, keys: PeerKeys | None, tasks: BackgroundTasks
+    ) -> None:
+        """Makes no connection yet.
+
+        Args:
+            section: sources, their names and limits; this instance's own address is not asked.
+            state: gets what comes.
+            keys: None on plain connections.
+            tasks: run the attempts.
+        """
+        self.source_names = section.source_names
+        self.state = state
+        self.keys = keys
+        self.tasks = tasks
+        self.loop = asyncio.get_running_loop()
+        self.patience = section.patience
+        sources = [source for source in section.sources if source != section.listen]
+        self.selector = SourceSelector(
+            state.name, sources, section.patience, section.max_attempts, state.seed
+        )
+        self.may_serve = asyncio.Event()
+        self.completed = 0
+        self.failed = 0
+
+    def begin(self) -> None:
+        """Starts asking."""
+        self.connect(self.selector.begin(self.loop.time()))
+
+    async def wait_until_served(self) -> None:
+        """Waits for sources, for ``patience`` seconds at most."""
+        if not self.selector.sources:
+            return
+        try:
+            async with asyncio.timeout(self.patience):
+                await self.may_serve.wait()
+        except TimeoutError:
+            say("learning_late", logging.WARNING, waited=self.patience)
+
+    def connect(self, connections: list[ConnectToSource]) -> None:
+        """Starts the attempts that the selector asked for."""
+        for connection in connections:
+            self.tasks.start(self.ask(connection))
+        if self.selector.may_serve(self.loop.time()):
+            self.may_serve.set()
+
+    async def ask(self, connection: ConnectToSource) -> None:
+        """Makes one attempt at one source, and starts those that follow from its end."""
+        source = connection.source
+        await asyncio.sleep(max(0.0, connection.at - self.loop.time()))
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT):
+                result = await self.transfer(source)
+        except (TransferProtocolError, InvalidItemError) as error:
+            self.log_failure(source, str(error))
+            self.connect(self.selector.on_invalid(source, self.loop.time()))
+        except OSError as error:
+            self.log_failure(source, failure_text(error))
+            self.connect(self.selector.on_failed(source, self.loop.time()))
+        else:
+            self.finish(source, result)
+
+    def finish(self, source: str, result: TransferResult) -> None:
+        """Logs a transfer that did not fail, and goes on as it ended."""
+        now = self.loop.time()
+        if result.retry_after is not None:
+            say("donor_busy", donor=source, back_in=result.retry_after)
+            self.connect(self.selector.on_failed(source, now, result.retry_after))
+            return
+        self.completed += 1
+        say("learnt", donor=source, items=result.new_items)
+        self.connect(self.selector.on_received(source, now))
+
+    def log_failure(self, source: str, reason: str) -> None:
+        """Counts and logs a failed attempt."""
+        self.failed += 1
+        say("donor_failed", logging.WARNING, donor=source, why=reason)
+
+    async def transfer(self, source: str) -> TransferResult:
+        """Receives a source's state; what came before a failure has been merged.
+
+        Raises:
+            TransferProtocolError, InvalidItemError: the source is not to be asked again.
+            OSError: it failed; TimeoutError and ssl.SSLError are such.
+        """
+        where = address(source, "donor")
+        tls = self.keys.tls(is_server=False) if self.keys else None
+        new_items = 0
+        with contextlib.closing(Connection.to(where, tls)) as connection:
+            await connection.connect(where)
+            if self.keys and tls and (reason := self.keys.rejection(tls, self.source_names)):
+                raise TransferProtocolError(f"its certificate is {reason}")
+            conversation = Conversation(self.state.hello())
+            await connection.send(conversation.hello() + encode_frame(FrameKind.ASK, Ask()))
+            while not conversation.ended:
+                async with asyncio.timeout(SILENCE_TIMEOUT):
+                    data = await connection.read()
+                if not data:
+                    raise ConnectionError("it ended in the middle")
+                for message in conversation.feed(data):
+                    if isinstance(message, Refusal):
+                        return TransferResult(retry_after=message.retry_after)
+                    if isinstance(message, list):
+                        new_items += self.state.receive(message)
+                        self.state.merge()
+        return TransferResult(new_items)
+
+
+def failure_text(error: OSError) -> str:
+    """Returns why a connection failed, in the words of the log."""
+    if isinstance(error, ssl.SSLError):
+        return f"TLS: {error.reason or error}"
+    if isinstance(error, TimeoutError):
+        return "no answer in time"
+    return error.strerror or str(error) or type(error).__name__
--- a/gatebank/state_transfer/section.py
+++ b/gatebank/state_transfer/section.py
@@ -1,4 +1,4 @@
-"""`learning(...)`: whom a marshal teaches, from whom it learns, and within which bounds."""
+"""`learning(...)` in the operators' file: where an instance's state comes from and goes to, and limits."""
 
 from __future__ import annotations
 
@@ -7,65 +7,101 @@
 from typing import Annotated, ClassVar
 
 import msgspec
+from msgspec import field
 
 from gatebank.operator_config.sections import Section
 from gatebank.proxy.configuration import ConfigurationError, address
+from gatebank.state_transfer.weighting import HalfLives
 
-Positive = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+HalfLife = Annotated[float, msgspec.Meta(gt=0, le=86400)]  # seconds, up to a day
+Addresses = Annotated[list[str], msgspec.Meta(max_length=1024)]
+CertificateNames = Annotated[list[str], msgspec.Meta(max_length=1024)]
 
 
-class LearningOrders(Section, kw_only=True, frozen=True):
-    """Off without it. Times in seconds; relative paths begin at the operators' file's own folder."""
+class StateTransferSection(Section, kw_only=True, frozen=True):
+    """State transfer is off without this section.
+
+    Relative paths begin at the operators' file's own folder. The file has the names of
+    docs/learning-oncall.md; where an attribute has another, `msgspec.field(name=...)` maps it.
+
+    Attributes:
+        listen: address at which it is a source, with a listener of its own; None: it only receives.
+        sources: addresses that it asks; its own may be among them.
+        source_names: names in the certificates of sources that it believes.
+        receiver_names: names in the certificates of receivers that it serves.
+        plain: without TLS; on loopback addresses only.
+        patience: seconds that a start waits for sources before it serves; what comes later is merged.
+        max_attempts: at all sources together.
+        max_receivers: that a source serves at the same time.
+        receivers_per_second: new receivers that a source serves.
+        bytes_per_second: that a source sends to all receivers.
+        snapshot_folder: where snapshots are kept; None: nowhere.
+        snapshot_interval: seconds between two snapshots.
+        max_snapshot_age: seconds after which a snapshot is not used.
+        half_life_healthy: this and the next in seconds, see `weighting.HalfLives`.
+    """
 
     section: ClassVar[str] = "learning"
     once: ClassVar[bool] = True
 
-    # Where it teaches; a listener of its own. Without it, it only learns.
     listen: str | None = None
-    # Whom it asks, and the names in their certificates; itself may stand among them.
-    donors: Annotated[list[str], msgspec.Meta(max_length=1024)] = msgspec.field(default_factory=list)
-    may_teach: Annotated[list[str], msgspec.Meta(max_length=1024)] = msgspec.field(default_factory=list)
-    # Names in certificates of those that it teaches.
-    may_learn: Annotated[list[str], msgspec.Meta(max_length=1024)] = msgspec.field(default_factory=list)
-    # Without TLS; on loopback addresses only.
+    sources: Addresses = field(default_factory=list, name="donors")
+    source_names: CertificateNames = field(default_factory=list, name="may_teach")
+    receiver_names: CertificateNames = field(default_factory=list, name="may_learn")
     plain: bool = False
-    # How long a start waits for donors before it serves; what comes later is merged under way.
     patience: Annotated[float, msgspec.Meta(ge=0, le=30)] = 0.5
-    # Attempts at donors, all together.
-    attempts: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 12
-    # What a donor gives: learners at once and a second, bytes a second.
-    at_once: Annotated[int, msgspec.Meta(ge=1, le=64)] = 4
-    a_second: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 8.0
-    bytes_a_second: Annotated[float, msgspec.Meta(ge=10_000, le=1e9)] = 4e6
-    # Where what is known is kept too, how often it is written, and how old it may be to be believed.
-    snapshots: str | None = None
-    snapshot_every: Annotated[float, msgspec.Meta(ge=0.2, le=3600)] = 5.0
-    snapshot_age: Positive = 600.0
-    # Half-lives; learning/weighing.py says what of.
-    half_life_well: Positive = 4.0
-    half_life_sick: Positive = 16.0
-    half_life_slow: Positive = 8.0
-    half_life_times: Positive = 256.0
-    half_life_past: Positive = 128.0
-    half_life_sums: Positive = 64.0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=1000)] = field(default=12, name="attempts")
+    max_receivers: Annotated[int, msgspec.Meta(ge=1, le=64)] = field(default=4, name="at_once")
+    receivers_per_second: Annotated[float, msgspec.Meta(gt=0, le=1000)] = field(default=8.0, name="a_second")
+    bytes_per_second: Annotated[float, msgspec.Meta(ge=10_000, le=1e9)] = field(
+        default=4e6, name="bytes_a_second"
+    )
+    snapshot_folder: str | None = field(default=None, name="snapshots")
+    snapshot_interval: Annotated[float, msgspec.Meta(ge=0.2, le=3600)] = field(
+        default=5.0, name="snapshot_every"
+    )
+    max_snapshot_age: HalfLife = field(default=600.0, name="snapshot_age")
+    half_life_healthy: HalfLife = field(default=HalfLives().healthy_endpoint, name="half_life_well")
+    half_life_failing: HalfLife = field(default=HalfLives().failing_endpoint, name="half_life_sick")
+    half_life_latency_ratio: HalfLife = field(default=HalfLives().latency_ratio, name="half_life_slow")
+    half_life_usual_latency: HalfLife = field(default=HalfLives().usual_latency, name="half_life_times")
+    half_life_baseline: HalfLife = field(default=HalfLives().baseline_failures, name="half_life_past")
+    half_life_sums: HalfLife = HalfLives().test_sums
+
+    @property
+    def half_lives(self) -> HalfLives:
+        """The half-lives together."""
+        return HalfLives(
+            healthy_endpoint=self.half_life_healthy,
+            failing_endpoint=self.half_life_failing,
+            latency_ratio=self.half_life_latency_ratio,
+            usual_latency=self.half_life_usual_latency,
+            baseline_failures=self.half_life_baseline,
+            test_sums=self.half_life_sums,
+        )
 
     def check(self) -> Iterator[tuple[str, str]]:
-        for name, told in [("listen", [self.listen] if self.listen else []), ("donors", self.donors)]:
-            for each in told:
-                try:
-                    host, _ = address(each, name)
-                except ConfigurationError as trouble:
-                    yield name, str(trouble).rpartition(": ")[2]
-                    continue
-                if self.plain and not ip_address(host).is_loopback:
-                    yield "plain", f"{each} is no loopback address: only there a link goes without TLS"
-        if len(set(self.donors)) < len(self.donors):
+        """Yields what is wrong, by the field's name in the file."""
+        yield from self.check_addresses("listen", [self.listen] if self.listen else [])
+        yield from self.check_addresses("donors", self.sources)
+        if len(set(self.sources)) < len(self.sources):
             yield "donors", "names one twice"
-        if not self.plain and self.donors and not self.may_teach:
+        if not self.plain and self.sources and not self.source_names:
             yield "may_teach", "names in the donors' certificates are needed"
-        if not self.plain and self.listen and not self.may_learn:
+        if not self.plain and self.listen and not self.receiver_names:
             yield "may_learn", "names in the learners' certificates are needed"
-        if not (self.listen or self.donors or self.snapshots):
+        if not (self.listen or self.sources or self.snapshot_folder):
             yield "donors", "nothing to learn from, nobody to teach and no snapshots"
-        if self.half_life_well > self.half_life_sick:
-            yield "half_life_well", f"good news ages faster than bad: at most {self.half_life_sick:g}"
+        if self.half_life_healthy > self.half_life_failing:
+            yield "half_life_well", f"good news ages faster than bad: at most {self.half_life_failing:g}"
+
+    def check_addresses(self, name: str, addresses: list[str]) -> Iterator[tuple[str, str]]:
+        """Yields which of a field's addresses are none, or need TLS."""
+        for each in addresses:
+            try:
+                host, _ = address(each, name)
+            except ConfigurationError as error:
+                yield name, str(error).rpartition(": ")[2]
+                continue
+            if self.plain and not ip_address(host).is_loopback:
+                yield "plain", f"{each} is no loopback address: only there a link goes without TLS"
--- a/gatebank/state_transfer/source.py
+++ b/gatebank/state_transfer/source.py
@@ -1,8 +1,8 @@
-"""Whom a donor teaches, how much at a time, and when it refuses. No I/O: time handed in.
+"""How many receivers a source serves, how fast, and when it refuses. No I/O: the time is an argument.
 
-A donor's customers come first: so many learners at once, so many a second, so many bytes a second, and no
-new one while its own turns come late. Who is refused is told when to come back, spread by chance, so that
-forty that start together do not come back together.
+A source's clients come first: it serves so many receivers at once, so many new ones a second and so many
+bytes a second, and none while its own event loop runs late. A receiver that is refused is told when to come
+back, with jitter, so that forty that start together do not come back together.
 """
 
 from __future__ import annotations
@@ -10,57 +10,90 @@
 from dataclasses import dataclass
 from random import Random
 
-LATE = 0.05  # s that this process came late to its turns: it has no time to give
-SLICE = 0.002  # s of packing between two turns of the loop
+# Seconds that the event loop lately ran late, beyond which the process has no time to give.
+MAX_LOOP_LAG = 0.05
+# Seconds that the shortest wait of a refused receiver has, before jitter.
+MIN_RETRY_AFTER = 0.1
+# Jitter: a wait is multiplied by a number drawn evenly from here.
+JITTER = (0.5, 1.5)
+# Factor by which the count of waiting receivers fades in a second.
+WAITING_DECAY = 0.5
 
 
 @dataclass(slots=True, frozen=True)
-class TeachingBounds:
-    at_once: int = 4
-    a_second: float = 8.0
-    bytes_a_second: float = 4e6
+class SourceLimits:
+    """What a source gives.
 
-
-class Teaching:
+    Attributes:
+        max_receivers: served at the same time.
+        receivers_per_second: new ones, on average; as many may come at once.
+        bytes_per_second: to all of them together.
     """
-    >>> one = Teaching(TeachingBounds(at_once=2, a_second=3), 7)
-    >>> [one.admits(1.0, 0.0) is None for _ in range(3)]
+
+    max_receivers: int = 4
+    receivers_per_second: float = 8.0
+    bytes_per_second: float = 4e6
+
+
+class SourceLimiter:
+    """Admits receivers to one source within its limits.
+
+    >>> limiter = SourceLimiter(SourceLimits(max_receivers=2, receivers_per_second=3), seed=7)
+    >>> [limiter.admit(1.0, 0.0) is None for _ in range(3)]
     [True, True, False]
-    >>> one.left()
-    >>> one.admits(1.1, 0.0), one.admits(9.0, 1.0) is None
+    >>> limiter.release()
+    >>> limiter.admit(1.1, loop_lag=0.0), limiter.admit(9.0, loop_lag=1.0) is None
     (None, False)
+
+    Attributes:
+        completed: transfers that were sent whole.
+        refused: receivers that were told to come back.
     """
 
-    def __init__(self, bounds: TeachingBounds, seed: int) -> None:
-        self.bounds, self.chance = bounds, Random(seed)
-        self.now_taught = self.refused = self.taught = 0
-        self.tokens, self.at = bounds.a_second, 0.0
-        self.waiting, self.refused_at = 0.0, 0.0  # refusals, fading by half a second
-        self.free_at = 0.0  # when the bytes given out so far have had their time
-
-    def admits(self, now: float, lag: float) -> float | None:
-        """None if it is taught now, else s until it may come back. ``lag``: s this process came late
-        lately."""
-        self.tokens = min(
-            max(1.0, self.bounds.a_second), self.tokens + (now - self.at) * self.bounds.a_second
-        )
-        self.at = now
-        if self.now_taught < self.bounds.at_once and self.tokens >= 1.0 and lag < LATE:
+    def __init__(self, limits: SourceLimits, seed: int) -> None:
+        self.limits = limits
+        self.random = Random(seed)
+        self.active = 0
+        self.completed = 0
+        self.refused = 0
+        # A token bucket of new receivers.
+        self.tokens = limits.receivers_per_second
+        self.tokens_at = 0.0
+        # Receivers that were refused lately, and so are waiting.
+        self.waiting = 0.0
+        self.waiting_at = 0.0
+        # When the bytes that were let through so far have had their time.
+        self.bytes_free_at = 0.0
+
+    def admit(self, now: float, loop_lag: float) -> float | None:
+        """Returns None if a receiver is served now, else seconds until it may come back.
+
+        Args:
+            now: seconds of any steady clock.
+            loop_lag: seconds that this process lately came late to its events.
+        """
+        limits = self.limits
+        refill = (now - self.tokens_at) * limits.receivers_per_second
+        self.tokens = min(max(1.0, limits.receivers_per_second), self.tokens + refill)
+        self.tokens_at = now
+        if self.active < limits.max_receivers and self.tokens >= 1.0 and loop_lag < MAX_LOOP_LAG:
             self.tokens -= 1.0
-            self.now_taught += 1
+            self.active += 1
             return None
         self.refused += 1
-        # As many as were refused lately are waiting: each comes back when it may be its turn.
-        self.waiting = self.waiting * 0.5 ** (now - self.refused_at) + 1.0
-        self.refused_at = now
-        return (0.1 + self.waiting / self.bounds.a_second) * self.chance.uniform(0.5, 1.5)
-
-    def may_send(self, now: float, size: int) -> float:
-        """s to wait before so many bytes go out."""
-        wait = max(0.0, self.free_at - now)
-        self.free_at = max(now, self.free_at) + size / self.bounds.bytes_a_second
-        return wait
-
-    def left(self, whole: bool = True) -> None:
-        self.now_taught -= 1
-        self.taught += whole
+        # Each of those that wait comes back when it may be its turn.
+        self.waiting = self.waiting * WAITING_DECAY ** (now - self.waiting_at) + 1.0
+        self.waiting_at = now
+        wait = MIN_RETRY_AFTER + self.waiting / limits.receivers_per_second
+        return wait * self.random.uniform(*JITTER)
+
+    def send_delay(self, now: float, size: int) -> float:
+        """Counts bytes that are about to be sent, and returns the seconds to wait before."""
+        delay = max(0.0, self.bytes_free_at - now)
+        self.bytes_free_at = max(now, self.bytes_free_at) + size / self.limits.bytes_per_second
+        return delay
+
+    def release(self, completed: bool = True) -> None:
+        """Ends the transfer to an admitted receiver."""
+        self.active -= 1
+        self.completed += completed
