--- a/gatebank/operator_config/script.py
+++ b/gatebank/operator_config/script.py
@@ -61,25 +61,25 @@
     if len(text.encode()) > MAX_SCRIPT_BYTES:
         raise SectionError(0, f"the script is longer than {MAX_SCRIPT_BYTES} bytes")
     request = {"text": text, "file": file_name, "sections": list(sections), "seconds": cpu_seconds}
+    output = run_child(msgspec.json.encode(request), cpu_seconds)
+    result = msgspec.json.decode(output, type=ScriptResult)
+    if result.why:
+        raise SectionError(result.line, result.why.replace("\n", " "))
+    return result.calls
+
+
+def run_child(request: bytes, cpu_seconds: float) -> bytes:
+    """Returns what the program of `child.py` prints; raises SectionError if it does not end well."""
     command = (sys.executable, "-I", str(CHILD))
     try:
-        done = subprocess.run(
-            command,
-            input=msgspec.json.encode(request),
-            capture_output=True,
-            timeout=WALL_TIMEOUT,
-            check=False,
-        )
+        done = subprocess.run(command, input=request, capture_output=True, timeout=WALL_TIMEOUT, check=False)
     except subprocess.TimeoutExpired:
         raise SectionError(0, f"the script was not done within {WALL_TIMEOUT:g} s") from None
     if done.returncode in CPU_LIMIT_STATUSES:
         raise SectionError(0, f"the script took more than {cpu_seconds:g} s of processor time")
     if done.returncode:
         raise SectionError(0, failure_text(done))
-    result = msgspec.json.decode(done.stdout, type=ScriptResult)
-    if result.why:
-        raise SectionError(result.line, result.why.replace("\n", " "))
-    return result.calls
+    return done.stdout
 
 
 def failure_text(done: subprocess.CompletedProcess[bytes]) -> str:
--- a/gatebank/state_transfer/__init__.py
+++ b/gatebank/state_transfer/__init__.py
@@ -6,8 +6,8 @@
     weighting.py         what a receiver believes of the items that it was sent
     balancer_state.py    the balancer's tables to items, and merged items back to the balancer
     protocol.py          frames and the conversation; bytes in, messages out
-    receiver.py          which sources to ask, when, and when to stop
-    source.py            how many receivers to serve, how fast, and when to refuse
+    source_selection.py  which sources a receiver asks, when, and when it stops
+    source_limits.py     how many receivers a source serves, how fast, and when it refuses
     section.py           `learning(...)` in the operators' file
 
 With I/O:
@@ -17,8 +17,8 @@
     background_tasks.py  owner of the tasks
     local_state.py       this instance's state for the parts below
     peer_keys.py         the keys of connections, renewed in service
-    receiving.py         asks sources and merges what they send
-    serving.py           listens, and sends to receivers
+    receiver.py          asks sources and merges what they send
+    source.py            listens, and sends to receivers
     snapshot_store.py    writes snapshots from time to time, and at shutdown
     session.py           starts, owns and ends all of it
 
--- a/gatebank/state_transfer/receiver.py
+++ b/gatebank/state_transfer/receiver.py
@@ -1,140 +1,169 @@
-"""Which sources a receiver asks, when, and when it stops. No I/O: events in, connections to make out.
-
-Sources are ranked by rendezvous hashing of receiver and source, so that many receivers that start at once
-spread over the fleet. The first two are asked at once, the next as one fails. A busy source says when to come
-back. All attempts together have a budget, and after ``patience`` seconds the instance serves without waiting
-any longer: what comes later is merged while it serves.
-"""
+"""The receiver in service: connections to sources, and what they send merged as it comes."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import asyncio
+import contextlib
+import logging
+import ssl
 from dataclasses import dataclass
-from hashlib import blake2b
-from random import Random
-
-# Sources asked at the same time: one may be slow, or have just started itself; more know the same.
-CONCURRENT_SOURCES = 2
-# Seconds before a source that failed is asked again, doubled for each attempt at it up to the longer.
-FIRST_BACKOFF = 0.1
-MAX_BACKOFF = 5.0
-# Jitter: a backoff is multiplied by a number drawn evenly from here.
-JITTER = (0.5, 1.5)
+from typing import TYPE_CHECKING
+
+from gatebank.proxy.configuration import address
+from gatebank.proxy.log import say
+from gatebank.state_transfer.background_tasks import BackgroundTasks
+from gatebank.state_transfer.connection import Connection
+from gatebank.state_transfer.items import InvalidItemError
+from gatebank.state_transfer.local_state import LocalState
+from gatebank.state_transfer.protocol import (
+    Ask,
+    Conversation,
+    FrameKind,
+    Refusal,
+    TransferProtocolError,
+    encode_frame,
+)
+from gatebank.state_transfer.section import StateTransferSection
+from gatebank.state_transfer.source_selection import ConnectToSource, SourceSelector
+
+if TYPE_CHECKING:
+    from gatebank.state_transfer.peer_keys import PeerKeys
+
+# Seconds without a byte: a source encodes a part in a millisecond.
+SILENCE_TIMEOUT = 2.0
+# Seconds for one transfer, connection and all: the largest, 64 MiB, at the default bytes a second.
+TRANSFER_TIMEOUT = 15.0
 
 
 @dataclass(slots=True, frozen=True)
-class ConnectToSource:
-    """The caller is to make a connection to a source, at this time of the caller's clock."""
-
-    source: str
-    at: float
-
-
-@dataclass(slots=True)
-class SourceProgress:
-    """What became of one source so far; ``asking`` while an attempt runs, ``done`` when none is to follow."""
-
-    source: str
-    attempts: int = 0
-    not_before: float = 0.0
-    asking: bool = False
-    done: bool = False
+class TransferResult:
+    """How a transfer ended: the number of new items, or seconds after which to ask again."""
 
+    new_items: int = 0
+    retry_after: float | None = None
 
-def ranked(receiver: str, sources: Sequence[str]) -> list[str]:
-    """Returns the sources in the order in which this receiver asks them.
 
-    It is Thaler and Ravishankar's rendezvous hashing: a source that goes changes nobody else's order.
+class StateReceiver:
+    """Asks sources until the selector has enough.
 
-    >>> order = ranked("m1", ["a", "b", "c", "d"])
-    >>> [source for source in order if source != "b"] == ranked("m1", ["a", "c", "d"])
-    True
+    Attributes:
+        may_serve: set once the instance is not to wait any longer.
+        completed: transfers that came whole.
+        failed: attempts that failed; busy sources do not count.
     """
 
-    def score(source: str) -> bytes:
-        return blake2b(f"{receiver}\0{source}".encode(), digest_size=8).digest()
-
-    return sorted(sources, key=score, reverse=True)
-
-
-class SourceSelector:
-    """Chooses sources until enough of them have sent their state, or the budget of attempts is spent."""
-
     def __init__(
-        self, receiver: str, sources: Sequence[str], patience: float, max_attempts: int, seed: int
+        self, section: StateTransferSection, state: LocalState, keys: PeerKeys | None, tasks: BackgroundTasks
     ) -> None:
-        """Ranks the sources.
+        """Makes no connection yet.
 
         Args:
-            receiver: name of this instance.
-            sources: addresses of the others.
-            patience: seconds that the instance waits with serving.
-            max_attempts: at all sources together.
-            seed: of the jitter.
+            section: sources, their names and limits; this instance's own address is not asked.
+            state: gets what comes.
+            keys: None on plain connections.
+            tasks: run the attempts.
         """
-        self.sources = {source: SourceProgress(source) for source in ranked(receiver, sources)}
-        self.patience = patience
-        self.max_attempts = max_attempts
-        self.random = Random(seed)
-        self.began = 0.0
-        self.wanted = min(CONCURRENT_SOURCES, len(self.sources))
-        self.received = 0
-        self.attempts = 0
-
-    def begin(self, now: float) -> list[ConnectToSource]:
-        """Starts the clock of ``patience``; returns the first connections."""
-        self.began = now
-        return self.next_connections(now)
-
-    def next_connections(self, now: float) -> list[ConnectToSource]:
-        """Returns whom to ask now or later, as far as something is still wanted."""
-        connections: list[ConnectToSource] = []
-        missing = self.wanted - self.received - sum(each.asking for each in self.sources.values())
-        free = [progress for progress in self.sources.values() if not progress.asking and not progress.done]
-        # Those that were never asked come first, by rank; then those that may be asked again soonest.
-        free.sort(key=lambda progress: (progress.attempts, progress.not_before))
-        for progress in free[: max(0, missing)]:
-            if self.attempts >= self.max_attempts:
-                break
-            progress.asking = True
-            progress.attempts += 1
-            self.attempts += 1
-            connections.append(ConnectToSource(progress.source, max(now, progress.not_before)))
-        return connections
-
-    def on_received(self, source: str, now: float) -> list[ConnectToSource]:
-        """The source sent all of its state; returns further connections."""
-        self.end_attempts(source)
-        self.received += 1
-        return self.next_connections(now)
-
-    def on_failed(self, source: str, now: float, retry_after: float | None = None) -> list[ConnectToSource]:
-        """The attempt failed or was refused; returns further connections.
-
-        Args:
-            source: it is asked again after a backoff, and the next one in rank before.
-            now: the caller's clock.
-            retry_after: seconds that the source asked for.
+        self.source_names = section.source_names
+        self.state = state
+        self.keys = keys
+        self.tasks = tasks
+        self.loop = asyncio.get_running_loop()
+        self.patience = section.patience
+        sources = [source for source in section.sources if source != section.listen]
+        self.selector = SourceSelector(
+            state.name, sources, section.patience, section.max_attempts, state.seed
+        )
+        self.may_serve = asyncio.Event()
+        self.completed = 0
+        self.failed = 0
+
+    def begin(self) -> None:
+        """Starts asking."""
+        self.connect(self.selector.begin(self.loop.time()))
+
+    async def wait_until_served(self) -> None:
+        """Waits for sources, for ``patience`` seconds at most."""
+        if not self.selector.sources:
+            return
+        try:
+            async with asyncio.timeout(self.patience):
+                await self.may_serve.wait()
+        except TimeoutError:
+            say("learning_late", logging.WARNING, waited=self.patience)
+
+    def connect(self, connections: list[ConnectToSource]) -> None:
+        """Starts the attempts that the selector asked for."""
+        for connection in connections:
+            self.tasks.start(self.ask(connection))
+        if self.selector.may_serve(self.loop.time()):
+            self.may_serve.set()
+
+    async def ask(self, connection: ConnectToSource) -> None:
+        """Makes one attempt at one source, and starts those that follow from its end."""
+        source = connection.source
+        await asyncio.sleep(max(0.0, connection.at - self.loop.time()))
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT):
+                result = await self.transfer(source)
+        except (TransferProtocolError, InvalidItemError) as error:
+            self.log_failure(source, str(error))
+            self.connect(self.selector.on_invalid(source, self.loop.time()))
+        except OSError as error:
+            self.log_failure(source, failure_text(error))
+            self.connect(self.selector.on_failed(source, self.loop.time()))
+        else:
+            self.finish(source, result)
+
+    def finish(self, source: str, result: TransferResult) -> None:
+        """Logs a transfer that did not fail, and goes on as it ended."""
+        now = self.loop.time()
+        if result.retry_after is not None:
+            say("donor_busy", donor=source, back_in=result.retry_after)
+            self.connect(self.selector.on_failed(source, now, result.retry_after))
+            return
+        self.completed += 1
+        say("learnt", donor=source, items=result.new_items)
+        self.connect(self.selector.on_received(source, now))
+
+    def log_failure(self, source: str, reason: str) -> None:
+        """Counts and logs a failed attempt."""
+        self.failed += 1
+        say("donor_failed", logging.WARNING, donor=source, why=reason)
+
+    async def transfer(self, source: str) -> TransferResult:
+        """Receives a source's state; what came before a failure has been merged.
+
+        Raises:
+            TransferProtocolError, InvalidItemError: the source is not to be asked again.
+            OSError: it failed; TimeoutError and ssl.SSLError are such.
         """
-        progress = self.sources[source]
-        progress.asking = False
-        backoff = min(MAX_BACKOFF, FIRST_BACKOFF * 2 ** (progress.attempts - 1))
-        backoff *= self.random.uniform(*JITTER)
-        progress.not_before = now + max(backoff, retry_after or 0.0)
-        return self.next_connections(now)
-
-    def on_invalid(self, source: str, now: float) -> list[ConnectToSource]:
-        """What it sent can't be used, or it is of another deployment: it is not asked again."""
-        self.end_attempts(source)
-        return self.next_connections(now)
-
-    def end_attempts(self, source: str) -> None:
-        """Asks this source no more."""
-        progress = self.sources[source]
-        progress.asking = False
-        progress.done = True
-
-    def may_serve(self, now: float) -> bool:
-        """Returns whether the instance is to serve without waiting any longer."""
-        asking = any(progress.asking for progress in self.sources.values())
-        return self.received >= self.wanted or not asking or now - self.began >= self.patience
+        where = address(source, "donor")
+        tls = self.keys.tls(is_server=False) if self.keys else None
+        new_items = 0
+        with contextlib.closing(Connection.to(where, tls)) as connection:
+            await connection.connect(where)
+            if self.keys and tls and (reason := self.keys.rejection(tls, self.source_names)):
+                raise TransferProtocolError(f"its certificate is {reason}")
+            conversation = Conversation(self.state.hello())
+            await connection.send(conversation.hello() + encode_frame(FrameKind.ASK, Ask()))
+            while not conversation.ended:
+                async with asyncio.timeout(SILENCE_TIMEOUT):
+                    data = await connection.read()
+                if not data:
+                    raise ConnectionError("it ended in the middle")
+                for message in conversation.feed(data):
+                    if isinstance(message, Refusal):
+                        return TransferResult(retry_after=message.retry_after)
+                    if isinstance(message, list):
+                        new_items += self.state.receive(message)
+                        self.state.merge()
+        return TransferResult(new_items)
+
+
+def failure_text(error: OSError) -> str:
+    """Returns why a connection failed, in the words of the log."""
+    if isinstance(error, ssl.SSLError):
+        return f"TLS: {error.reason or error}"
+    if isinstance(error, TimeoutError):
+        return "no answer in time"
+    return error.strerror or str(error) or type(error).__name__
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -15,10 +15,10 @@
 from gatebank.proxy.dispatcher import Dispatcher
 from gatebank.state_transfer.background_tasks import BackgroundTasks
 from gatebank.state_transfer.local_state import LocalState
-from gatebank.state_transfer.receiving import StateReceiver
+from gatebank.state_transfer.receiver import StateReceiver
 from gatebank.state_transfer.section import StateTransferSection
-from gatebank.state_transfer.serving import StateServer
 from gatebank.state_transfer.snapshot_store import SnapshotStore
+from gatebank.state_transfer.source import StateSource
 
 if TYPE_CHECKING:
     from gatebank.state_transfer.peer_keys import PeerKeys
@@ -59,7 +59,7 @@
         self.state = LocalState(dispatcher, name, section.half_lives)
         self.keys = load_keys(section, keys_section, folder)
         self.receiver = StateReceiver(section, self.state, self.keys, self.tasks)
-        self.server = StateServer(section, self.state, self.keys, self.tasks)
+        self.source = StateSource(section, self.state, self.keys, self.tasks)
         self.snapshots: SnapshotStore | None = None
         if section.snapshot_folder:
             self.snapshots = SnapshotStore(
@@ -71,13 +71,13 @@
 
     def listen(self) -> None:
         """Opens the listener; raises ConfigurationError if it can't be."""
-        self.server.listen()
+        self.source.listen()
 
     async def begin(self) -> None:
         """Restores the last snapshot and receives what comes within ``patience``; the rest goes on beside."""
         if self.snapshots:
             self.snapshots.restore()
-        self.server.begin()
+        self.source.begin()
         if self.snapshots:
             self.tasks.start(self.snapshots.write_regularly())
         if self.keys:
@@ -105,7 +105,7 @@
 
     def close(self) -> None:
         """Closes the listener and cancels all tasks, with which connections end."""
-        self.server.close()
+        self.source.close()
         self.tasks.cancel()
 
     def standing(self) -> dict[str, int]:
@@ -114,8 +114,8 @@
             "learnt": self.state.received,
             "donations": self.receiver.completed,
             "donors_failed": self.receiver.failed,
-            "taught": self.server.limiter.completed,
-            "teaching_refused": self.server.limiter.refused,
+            "taught": self.source.limiter.completed,
+            "teaching_refused": self.source.limiter.refused,
         }
 
 
--- a/gatebank/state_transfer/source.py
+++ b/gatebank/state_transfer/source.py
@@ -1,99 +1,172 @@
-"""How many receivers a source serves, how fast, and when it refuses. No I/O: the time is an argument.
-
-A source's clients come first: it serves so many receivers at once, so many new ones a second and so many
-bytes a second, and none while its own event loop runs late. A receiver that is refused is told when to come
-back, with jitter, so that forty that start together do not come back together.
-"""
+"""The source in service: a listener of its own, and connections of receivers within the source's limits."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from random import Random
-
-# Seconds that the event loop lately ran late, beyond which the process has no time to give.
-MAX_LOOP_LAG = 0.05
-# Seconds that the shortest wait of a refused receiver has, before jitter.
-MIN_RETRY_AFTER = 0.1
-# Jitter: a wait is multiplied by a number drawn evenly from here.
-JITTER = (0.5, 1.5)
-# Factor by which the count of waiting receivers fades in a second.
-WAITING_DECAY = 0.5
-
-
-@dataclass(slots=True, frozen=True)
-class SourceLimits:
-    """What a source gives.
-
-    Attributes:
-        max_receivers: served at the same time.
-        receivers_per_second: new ones, on average; as many may come at once.
-        bytes_per_second: to all of them together.
-    """
-
-    max_receivers: int = 4
-    receivers_per_second: float = 8.0
-    bytes_per_second: float = 4e6
-
-
-class SourceLimiter:
-    """Admits receivers to one source within its limits.
-
-    >>> limiter = SourceLimiter(SourceLimits(max_receivers=2, receivers_per_second=3), seed=7)
-    >>> [limiter.admit(1.0, 0.0) is None for _ in range(3)]
-    [True, True, False]
-    >>> limiter.release()
-    >>> limiter.admit(1.1, loop_lag=0.0), limiter.admit(9.0, loop_lag=1.0) is None
-    (None, False)
-
-    Attributes:
-        completed: transfers that were sent whole.
-        refused: receivers that were told to come back.
-    """
-
-    def __init__(self, limits: SourceLimits, seed: int) -> None:
-        self.limits = limits
-        self.random = Random(seed)
-        self.active = 0
-        self.completed = 0
-        self.refused = 0
-        # A token bucket of new receivers.
-        self.tokens = limits.receivers_per_second
-        self.tokens_at = 0.0
-        # Receivers that were refused lately, and so are waiting.
-        self.waiting = 0.0
-        self.waiting_at = 0.0
-        # When the bytes that were let through so far have had their time.
-        self.bytes_free_at = 0.0
-
-    def admit(self, now: float, loop_lag: float) -> float | None:
-        """Returns None if a receiver is served now, else seconds until it may come back.
-
-        Args:
-            now: seconds of any steady clock.
-            loop_lag: seconds that this process lately came late to its events.
+import asyncio
+import contextlib
+import logging
+import socket
+from typing import TYPE_CHECKING
+
+from gatebank.proxy.configuration import ConfigurationError, address
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import opened
+from gatebank.state_transfer.background_tasks import BackgroundTasks
+from gatebank.state_transfer.connection import Connection
+from gatebank.state_transfer.items import InvalidItemError, split_into_parts
+from gatebank.state_transfer.local_state import REUSE_TIME, LocalState
+from gatebank.state_transfer.protocol import (
+    PART_BYTES,
+    Ask,
+    Conversation,
+    End,
+    FrameKind,
+    Refusal,
+    TransferProtocolError,
+    encode_frame,
+)
+from gatebank.state_transfer.receiver import SILENCE_TIMEOUT, TRANSFER_TIMEOUT
+from gatebank.state_transfer.section import StateTransferSection
+from gatebank.state_transfer.source_limits import SourceLimiter, SourceLimits
+
+if TYPE_CHECKING:
+    from gatebank.state_transfer.peer_keys import PeerKeys
+
+BACKLOG = 64  # connections that the system holds for the listener
+# Seconds after an accept failed, as it does where the process has no descriptors left.
+ACCEPT_PAUSE = 0.05
+# Tasks, of which all but a few have a connection, are so many for each receiver that is served, and so many
+# more. A handshake takes a core for a millisecond: connections beyond these are closed at once.
+TASKS_PER_RECEIVER = 8
+FURTHER_TASKS = 64
+
+
+class StateSource:
+    """Serves receivers. Whatever one does, its connection ends in a bounded time and costs no other."""
+
+    def __init__(
+        self, section: StateTransferSection, state: LocalState, keys: PeerKeys | None, tasks: BackgroundTasks
+    ) -> None:
+        """Does not listen yet; the arguments are those of `receiver.StateReceiver`."""
+        self.listen_address = section.listen
+        self.receiver_names = section.receiver_names
+        self.state = state
+        self.keys = keys
+        self.tasks = tasks
+        self.loop = asyncio.get_running_loop()
+        limits = SourceLimits(section.max_receivers, section.receivers_per_second, section.bytes_per_second)
+        self.limiter = SourceLimiter(limits, state.seed)
+        self.max_tasks = TASKS_PER_RECEIVER * section.max_receivers + FURTHER_TASKS
+        self.listener: socket.socket | None = None
+        self.frames: list[bytes] = []
+        self.frames_at = float("-inf")
+
+    def listen(self) -> None:
+        """Opens the listener, if the section has an address for it.
+
+        Raises:
+            ConfigurationError: the address can't be listened at.
         """
-        limits = self.limits
-        refill = (now - self.tokens_at) * limits.receivers_per_second
-        self.tokens = min(max(1.0, limits.receivers_per_second), self.tokens + refill)
-        self.tokens_at = now
-        if self.active < limits.max_receivers and self.tokens >= 1.0 and loop_lag < MAX_LOOP_LAG:
-            self.tokens -= 1.0
-            self.active += 1
-            return None
-        self.refused += 1
-        # Each of those that wait comes back when it may be its turn.
-        self.waiting = self.waiting * WAITING_DECAY ** (now - self.waiting_at) + 1.0
-        self.waiting_at = now
-        wait = MIN_RETRY_AFTER + self.waiting / limits.receivers_per_second
-        return wait * self.random.uniform(*JITTER)
-
-    def send_delay(self, now: float, size: int) -> float:
-        """Counts bytes that are about to be sent, and returns the seconds to wait before."""
-        delay = max(0.0, self.bytes_free_at - now)
-        self.bytes_free_at = max(now, self.bytes_free_at) + size / self.limits.bytes_per_second
-        return delay
-
-    def release(self, completed: bool = True) -> None:
-        """Ends the transfer to an admitted receiver."""
-        self.active -= 1
-        self.completed += completed
+        if not self.listen_address:
+            return
+        where = address(self.listen_address, "learning: listen")
+        self.listener = opened(where)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.listener.bind(where)
+        except OSError as error:
+            reason = f"learning: listen {self.listen_address}: {error.strerror}"
+            raise ConfigurationError(reason) from error
+        self.listener.listen(BACKLOG)
+
+    def begin(self) -> None:
+        """Starts accepting, if there is a listener."""
+        if self.listener:
+            self.tasks.start(self.accept(self.listener))
+
+    def close(self) -> None:
+        """Closes the listener; connections end with their tasks."""
+        if self.listener:
+            self.listener.close()
+
+    async def accept(self, listener: socket.socket) -> None:
+        """Accepts connections until it is cancelled."""
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(listener)
+            except OSError as error:
+                say("accept_failed", logging.WARNING, why=error)
+                await asyncio.sleep(ACCEPT_PAUSE)
+                continue
+            sock.setblocking(False)
+            if len(self.tasks) > self.max_tasks:
+                sock.close()
+                continue
+            self.tasks.start(self.serve(sock))
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Serves one connection, and closes it."""
+        tls = self.keys.tls(is_server=True) if self.keys else None
+        try:
+            with contextlib.closing(Connection(sock, tls)) as connection:
+                await connection.handshake()
+                if self.keys and tls and self.keys.rejection(tls, self.receiver_names):
+                    return
+                async with asyncio.timeout(TRANSFER_TIMEOUT):
+                    await self.answer(connection)
+        except (OSError, TransferProtocolError, InvalidItemError) as error:
+            say("learner_failed", why=str(error) or type(error).__name__)
+
+    async def answer(self, connection: Connection) -> None:
+        """Waits for what a receiver asks, and sends the state or refuses."""
+        conversation = Conversation(self.state.hello())
+        ask = None
+        while ask is None:
+            async with asyncio.timeout(SILENCE_TIMEOUT):
+                data = await connection.read()
+            if not data:
+                return
+            messages = conversation.feed(data)
+            ask = next((message for message in messages if isinstance(message, Ask)), None)
+        retry_after = self.limiter.admit(self.loop.time(), self.state.dispatcher.lag)
+        if retry_after is not None:
+            refusal = encode_frame(FrameKind.REFUSE, Refusal(retry_after=retry_after))
+            await connection.send(conversation.hello() + refusal)
+            return
+        completed = False
+        try:
+            await self.send_state(connection, conversation, ask.max_bytes)
+            completed = True
+        finally:
+            self.limiter.release(completed)
+
+    async def send_state(self, connection: Connection, conversation: Conversation, max_bytes: int) -> None:
+        """Sends hello, as many parts as the receiver takes, and the end, at the source's rate."""
+        sent_bytes = 0
+        part_count = 0
+        await connection.send(conversation.hello())
+        for frame in await self.encoded_parts():
+            if sent_bytes + len(frame) > max_bytes:
+                break
+            delay = self.limiter.send_delay(self.loop.time(), len(frame))
+            if delay > 0:
+                await asyncio.sleep(delay)
+            async with asyncio.timeout(SILENCE_TIMEOUT):
+                await connection.send(frame)
+            sent_bytes += len(frame)
+            part_count += 1
+        await connection.send(encode_frame(FrameKind.END, End(part_count=part_count)))
+        peer = conversation.peer
+        say("taught", learner=peer.name if peer else "?", parts=part_count, bytes=sent_bytes)
+
+    async def encoded_parts(self) -> list[bytes]:
+        """Returns the frames of all that is known, encoded in slices so that clients are served between."""
+        if self.loop.time() - self.frames_at < REUSE_TIME:
+            return self.frames
+        frames: list[bytes] = []
+        for part in split_into_parts(await self.state.items(), PART_BYTES):
+            frames.append(encode_frame(FrameKind.PART, part))
+            await asyncio.sleep(0)
+        self.frames = frames
+        self.frames_at = self.loop.time()
+        return frames
--- a/tests/test_asking_donors.py
+++ b/tests/test_asking_donors.py
@@ -5,9 +5,9 @@
 import random
 
 from gatebank.operator_config.sections import SectionCall
-from gatebank.state_transfer.receiver import SourceSelector, ranked
 from gatebank.state_transfer.section import StateTransferSection
-from gatebank.state_transfer.source import SourceLimiter, SourceLimits
+from gatebank.state_transfer.source_limits import SourceLimiter, SourceLimits
+from gatebank.state_transfer.source_selection import SourceSelector, ranked
 
 
 def test_learner_asks_on_within_its_budget() -> None:
