--- a/gatebank/cli/state_sources.py
+++ b/gatebank/cli/state_sources.py
@@ -15,7 +15,7 @@
 from gatebank.proxy.configuration import Address, ConfigurationError, address, load_configuration
 from gatebank.state_transfer import snapshot
 from gatebank.state_transfer.connection import Connection
-from gatebank.state_transfer.items import StateItem, by_value
+from gatebank.state_transfer.items import InvalidItemError, StateItem, by_value
 from gatebank.state_transfer.protocol import (
     Ask,
     Conversation,
@@ -100,32 +100,35 @@
     """Returns what an instance knows; asks as a receiver does, and its listener decides whether it may."""
     try:
         hello = Hello(name="show", deployment=deployment_of(configuration))
-        tls = client_tls(keys_folder)
-    except GatebankError as error:
-        raise StateSourceError(error) from error
-    except ConfigurationError as error:
+        context = client_context(keys_folder)
+    except (GatebankError, ConfigurationError) as error:
         raise StateSourceError(error) from error
     late_reason = "no answer in time"
     try:
         async with asyncio.timeout(ANSWER_TIMEOUT):
             # A busy source serves its clients first, and says when to come back.
-            while (reply := await ask_once(where, tls, hello, source)).retry_after is not None:
+            while (reply := await ask_once(where, context, hello, source)).retry_after is not None:
                 late_reason = "busy"
                 await asyncio.sleep(reply.retry_after)
     except TransferProtocolError as error:
         hint = "--configuration tells which deployment is asked"
         raise StateSourceError(f"{source}: {error}; {hint}") from error
+    except InvalidItemError as error:
+        raise StateSourceError(f"{source}: {error}") from error
     except ssl.SSLError as error:
         raise StateSourceError(f"{source}: TLS: {error.reason or error}") from error
     except ConnectionError as error:
-        raise StateSourceError(f"{source}: {error.strerror}; is this name among its may_learn?") from error
+        raise StateSourceError(
+            f"{source}: {error.strerror or error}; is this name among its may_learn?"
+        ) from error
     except OSError as error:
         raise StateSourceError(f"{source}: {error.strerror or late_reason}") from error
     return reply.items
 
 
-async def ask_once(where: Address, tls: TlsStream | None, hello: Hello, source: str) -> Reply:
+async def ask_once(where: Address, context: ssl.SSLContext | None, hello: Hello, source: str) -> Reply:
     """Makes one connection to an instance and returns its reply; raises as `Connection` and `feed` do."""
+    tls = TlsStream(context, is_server=False) if context else None
     conversation = Conversation(hello)
     items: list[StateItem] = []
     with contextlib.closing(Connection.to(where, tls)) as connection:
@@ -156,8 +159,8 @@
     return deployment_id(load_configuration(environment).settings)
 
 
-def client_tls(keys_folder: Path | None) -> TlsStream | None:
-    """Returns TLS with a folder's keys; None without one.
+def client_context(keys_folder: Path | None) -> ssl.SSLContext | None:
+    """Returns a TLS context with a folder's keys; None without one.
 
     Raises:
         KeyFolderError: the folder can't be used.
@@ -167,4 +170,4 @@
     # Only here is `cryptography` needed: snapshots are shown without it.
     from gatebank.keys.folder import read_keys
 
-    return TlsStream(read_keys(keys_folder).client, is_server=False)
+    return read_keys(keys_folder).client
--- a/tests/test_key_and_learn_commands.py
+++ b/tests/test_key_and_learn_commands.py
@@ -6,6 +6,13 @@
 import json
 from pathlib import Path
 
+import msgspec
+
+from gatebank.keys.authority import make_authority
+from gatebank.keys.folder import read_keys
+from gatebank.state_transfer import protocol
+from tests.support.learners import health
+from tests.support.learning_stand import make_keys
 from tests.support.program import run
 from tests.support.rehearsal import Rehearsal
 from tests.support.stand import Stand
@@ -88,8 +95,6 @@
 
     A donor that is busy says when to come again: `learn show` does so, and is taught.
     """
-    from gatebank.state_transfer import protocol
-
     came = 0
 
     async def teach(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -142,3 +147,76 @@
     sums = [row["a"]["ratios"] for row in rows if row["a"]["what"] == "sums"]
     assert sums == [item["ratios"] for item in expected if item["what"] == "sums"]
     assert sums[0] == {"0": [-1.25, 40], "4": [0.5, 3], "11": [1000000.0, 1000000000]}
+
+
+async def test_learn_show_asks_a_busy_source_again_over_tls(tmp_path: Path) -> None:
+    """A busy source over TLS: each connection does a handshake of its own, and the last one is served."""
+    authority = make_authority("ours")
+    for name in ("source", "show"):
+        make_keys(tmp_path / name, authority, name)
+    connections = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal connections
+        connections += 1
+        hello = protocol.Conversation(protocol.Hello(name="source", deployment="")).hello()
+        await reader.read(1024)
+        if connections < 3:
+            refusal = protocol.Refusal(retry_after=0.01)
+            writer.write(hello + protocol.encode_frame(protocol.FrameKind.REFUSE, refusal))
+        else:
+            writer.write(hello + protocol.encode_frame(protocol.FrameKind.END, protocol.End()))
+        await writer.drain()
+        writer.close()
+
+    context = read_keys(tmp_path / "source").server
+    source = await asyncio.start_server(serve, "127.0.0.1", 0, ssl=context)
+    where = "{}:{}".format(*source.sockets[0].getsockname())
+    try:
+        status, _, errors = await run("learn", "show", where, "--keys", str(tmp_path / "show"))
+        assert (status, errors, connections) == (0, "", 3)
+    finally:
+        source.close()
+
+
+async def test_learn_show_of_a_source_with_impossible_items_is_one_line() -> None:
+    """A source that sends a figure out of range ends `learn show` with one line and status 2."""
+    item = msgspec.to_builtins(health()) | {"faults": 7.0}
+    body = msgspec.msgpack.encode({"items": [item]})
+    frame = (len(body) + 1).to_bytes(4, "big") + bytes([protocol.FrameKind.PART]) + body
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        hello = protocol.Conversation(protocol.Hello(name="source", deployment="")).hello()
+        await reader.read(1024)
+        writer.write(hello + frame)
+        await writer.drain()
+        await reader.read()
+        writer.close()
+
+    source = await asyncio.start_server(serve, "127.0.0.1", 0)
+    where = "{}:{}".format(*source.sockets[0].getsockname())
+    try:
+        status, output, errors = await run("learn", "show", where)
+        assert (status, output) == (2, "")
+        assert errors == f"gatebank: {where}: Expected `float` <= 1.0 - at `$.faults`\n"
+    finally:
+        source.close()
+
+
+async def test_learn_show_says_that_a_handshake_was_ended(tmp_path: Path) -> None:
+    """A source that ends the connection amid the handshake: the line says so."""
+    make_keys(tmp_path / "show", make_authority("ours"), "show")
+
+    async def end(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(4096)
+        writer.close()
+
+    source = await asyncio.start_server(end, "127.0.0.1", 0)
+    where = "{}:{}".format(*source.sockets[0].getsockname())
+    try:
+        status, _, errors = await run("learn", "show", where, "--keys", str(tmp_path / "show"))
+        assert status == 2
+        reason = "it ended amid the handshake; is this name among its may_learn?"
+        assert errors == f"gatebank: {where}: {reason}\n"
+    finally:
+        source.close()
