--- a/gatebank/state_transfer/background_tasks.py
+++ b/gatebank/state_transfer/background_tasks.py
@@ -11,7 +11,11 @@
 
 
 class BackgroundTasks:
-    """Tasks that are forgotten as they end and cancelled together; ``len`` is the number that run."""
+    """Tasks that are forgotten as they end and cancelled together; ``len`` is the number that run.
+
+    In an `asyncio.TaskGroup` a task that fails would end the others. Here it ends alone: a fault in one
+    transfer costs neither another one nor the service.
+    """
 
     def __init__(self) -> None:
         self.tasks: set[asyncio.Task[None]] = set()
--- a/gatebank/state_transfer/receiver.py
+++ b/gatebank/state_transfer/receiver.py
@@ -31,7 +31,8 @@
 
 # Seconds without a byte: a source encodes a part in a millisecond.
 SILENCE_TIMEOUT = 2.0
-# Seconds for one transfer, connection and all: the largest, 64 MiB, at the default bytes a second.
+# Seconds for one transfer, connection and all: 2 MB, of ten thousand endpoints, take 0.5 s at a source's
+# default rate, and 2 s beside three other receivers.
 TRANSFER_TIMEOUT = 15.0
 
 
