--- a/gatebank/operator_config/sections.py
+++ b/gatebank/operator_config/sections.py
@@ -124,8 +124,8 @@
         if name not in fields:
             close = difflib.get_close_matches(name, fields, 1)
             guess = f"; did you mean {close[0]!r}?" if close else ";"
-            known = ", ".join(fields)
-            return SectionError(line, f"{cls.section}: {name}: no such field{guess} known are {known}")
+            names = ", ".join(fields)
+            return SectionError(line, f"{cls.section}: {name}: no such field{guess} known are {names}")
         try:
             msgspec.convert(value, fields[name].type)
         except msgspec.ValidationError as error:
