--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -122,7 +122,7 @@
         state.traffic.accepted.add(state.now, request.request_class)
         state.traffic.arrivals.add(state.now, request.tenant)
         if not request.is_client_retry:
-            state.traffic.first_tries.add(state.now)
+            state.traffic.first_tries.add(state.now, None)
         request_class = state.settings.request_classes[request.request_class]
         in_hand = RequestState(request, request_class, state.now)
         state.requests[request.number] = in_hand
--- a/gatebank/statistics/sliding_window.py
+++ b/gatebank/statistics/sliding_window.py
@@ -9,12 +9,15 @@
 
 from collections import deque
 from collections.abc import Hashable, Iterable, Iterator
+from typing import Generic, TypeVar
 
+KindT = TypeVar("KindT", bound=Hashable)
 
-class SlidingWindow:
+
+class SlidingWindow(Generic[KindT]):
     """Rows of (time in seconds, kind), oldest first.
 
-    >>> window = SlidingWindow()
+    >>> window: SlidingWindow[str] = SlidingWindow()
     >>> for at, kind in ((1.0, "a"), (2.0, "b"), (2.0, "a")):
     ...     window.add(at, kind)
     >>> window.count("a"), len(window)
@@ -30,18 +33,18 @@
     __slots__ = ("counts", "rows")
 
     def __init__(self) -> None:
-        self.rows: deque[tuple[float, Hashable]] = deque()  # emptied by `forget`
-        self.counts: dict[Hashable, int] = {}  # as many as there are kinds in the rows
+        self.rows: deque[tuple[float, KindT]] = deque()  # emptied by `forget`
+        self.counts: dict[KindT, int] = {}  # as many as there are kinds in the rows
 
-    def add(self, at: float, kind: Hashable = None) -> None:
+    def add(self, at: float, kind: KindT) -> None:
         """Add a row of a time that is not before the newest one's."""
         self.rows.append((at, kind))
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
-    def move(self, at: float, kind: Hashable, now: float) -> None:
+    def move(self, at: float, kind: KindT, now: float) -> None:
         """The row of that time counts as one of now. It is searched for: for what happens seldom.
 
-        >>> window = SlidingWindow()
+        >>> window: SlidingWindow[str] = SlidingWindow()
         >>> window.add(1.0, "a"), window.move(1.0, "a", 2.0), window.forget(1.5), window.count("a")
         (None, None, None, 1)
         """
@@ -51,7 +54,7 @@
             self.counts[kind] = self.counts.get(kind, 0) + 1
         self.rows.append((now, kind))
 
-    def add_before(self, rows: Iterable[tuple[float, Hashable]]) -> None:
+    def add_before(self, rows: Iterable[tuple[float, KindT]]) -> None:
         """Add rows older than all here, in any order."""
         for at, kind in sorted(rows, key=lambda row: row[0], reverse=True):
             self.rows.appendleft((at, kind))
@@ -68,7 +71,7 @@
             else:
                 counts[kind] -= 1
 
-    def count(self, *kinds: Hashable) -> int:
+    def count(self, *kinds: KindT) -> int:
         """Rows of these kinds; of all, where none is named."""
         return sum(self.counts.get(kind, 0) for kind in kinds) if kinds else len(self.rows)
 
@@ -84,5 +87,5 @@
     def __len__(self) -> int:
         return len(self.rows)
 
-    def __iter__(self) -> Iterator[tuple[float, Hashable]]:
+    def __iter__(self) -> Iterator[tuple[float, KindT]]:
         return iter(self.rows)
