--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -14,7 +14,6 @@
 
 import uvloop
 
-from benchmarks.same_acts import play
 from gatebank import balancer
 from gatebank.events import RetrySafety
 from gatebank.fakes.wire import packed
@@ -24,6 +23,7 @@
 from gatebank.proxy.dispatcher import Clock, Dispatcher
 from gatebank.proxy.downstream import Clients
 from gatebank.proxy.upstream import Nodes
+from tests.support.random_events import play
 from tests.support.stand import PATIENCE, ROOT
 
 # The same names with other meanings, other limits, and what one has and the other lacks.
