--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -94,7 +94,8 @@
 
 def main() -> None:
     if sys.argv[1:2] != ["serve"]:  # a marshal holds nothing that it does not use
-        from gatebank.cli import capture, fleet, keys, learn
+        from gatebank.cli import fleet, keys, learn
+        from gatebank.cli.capture import commands as capture
 
         for name, group in (("capture", capture), ("fleet", fleet), ("learn", learn), ("keys", keys)):
             app.add_typer(group.app, name=name)
--- /dev/null
+++ b/gatebank/cli/capture/check.py
@@ -0,0 +1,73 @@
+"""``gatebank capture check``: what a capture holds, and what of it could not be read."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from collections.abc import Collection, Mapping
+
+import orjson
+import typer
+
+from gatebank.capture.reading import Reading
+from gatebank.capture.records import clock, harmless
+from gatebank.cli.capture.source import CaptureSource
+from gatebank.cli.terminal import INCOMPLETE_STATUS, clean_end
+
+Counts = Mapping[str, int | str]  # by name; why the reading ended early, if it did, is a text
+
+
+def run(source: CaptureSource, as_json: bool) -> None:
+    """Read all files and print the counts.
+
+    Raises:
+        CommandLineError: A file cannot be read, or the only file is not a capture.
+        typer.Exit: Status 1 if anything could not be read.
+    """
+    with clean_end(lambda: f"{source.reading.packets.count} packets"):
+        counts = count(source)
+        trouble = source.reading.trouble()
+        if as_json:
+            print_json(counts, trouble, source.incomplete)
+        else:
+            print_text(counts, trouble, source)
+    if trouble or source.incomplete:
+        raise typer.Exit(INCOMPLETE_STATUS)
+
+
+def count(source: CaptureSource) -> Counts:
+    """Return the reading's own counts, and the exchanges by side and result."""
+    results: Counter[str] = Counter()
+    for exchange in source.exchanges():
+        results[f"{exchange.side}_{exchange.ended}"] += 1
+    by_result = {f"exchanges_{name}": number for name, number in sorted(results.items())}
+    return source.reading.counts() | by_result
+
+
+def print_json(counts: Counts, trouble: Counts, incomplete: list[str]) -> None:
+    """Print one JSON object."""
+    found: dict[str, object] = dict(trouble)
+    if incomplete:
+        found["spoilt"] = incomplete
+    sys.stdout.buffer.write(orjson.dumps({"counts": counts, "trouble": found}) + b"\n")
+
+
+def print_text(counts: Counts, trouble: Collection[str], source: CaptureSource) -> None:
+    """Print the counts that are not zero, with a mark at what could not be read."""
+    print_time_span(source.reading)
+    for name, number in counts.items():
+        if number and name != "spoilt":
+            mark = "  <" if name in trouble else ""
+            print(f"{number:>14} {name.replace('_', ' ')}{mark}")
+    for line in source.incomplete:
+        print(f"not read to its end: {harmless(line)}")
+    if trouble:
+        print("marked <: could not be read, or was given up")
+
+
+def print_time_span(reading: Reading) -> None:
+    """Print when the first and the last packet were recorded, if there are any."""
+    first = reading.first_at
+    last = reading.last_at
+    if first:
+        print(f"from {clock(first)} to {clock(last)}, {(last - first) / 1e9:.3f} s")
--- /dev/null
+++ b/gatebank/cli/capture/compare.py
@@ -0,0 +1,88 @@
+"""``gatebank capture compare``: what two captures of the same requests have in common, and what differs."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Mapping
+
+import orjson
+
+from gatebank.capture.compare import Comparison, quantiles
+from gatebank.capture.records import Filter, harmless
+from gatebank.cli.capture.source import CaptureSource
+from gatebank.cli.terminal import clean_end, warn_each
+
+SHOWN_EXAMPLES = 20  # of exchanges that differ, for people; --json has all that were kept
+Quantiles = Mapping[str, float]
+
+
+def run(a: CaptureSource, b: CaptureSource, selection: Filter, as_json: bool) -> None:
+    """Read both captures, match their exchanges and print what was found.
+
+    Raises:
+        CommandLineError: A file cannot be read.
+    """
+    comparison = Comparison()
+    with clean_end(lambda: f"{comparison.matched} matched"):
+        for source, add in ((a, comparison.a), (b, comparison.b)):
+            for exchange in source.exchanges():
+                if selection(exchange) and exchange.asked_whole:
+                    add(exchange)
+        if as_json:
+            print_json(comparison)
+        else:
+            print_text(comparison)
+    warn_each(a.incomplete + b.incomplete)
+
+
+def count(comparison: Comparison) -> dict[str, int]:
+    """Return how many exchanges were matched, are in one capture only, and ended differently."""
+    return {
+        "matched": comparison.matched,
+        "only_a": comparison.only_a,
+        "only_b": comparison.only_b,
+        "otherwise": comparison.changes.total(),
+    }
+
+
+def latency_quantiles(comparison: Comparison) -> dict[str, Quantiles]:
+    """Return the quantiles of all latencies, and of those that differ, in ms."""
+    return {
+        "a": quantiles(comparison.all_a),
+        "b": quantiles(comparison.all_b),
+        "slower": quantiles(comparison.slower),
+        "faster": quantiles(comparison.faster),
+    }
+
+
+def print_json(comparison: Comparison) -> None:
+    """Print one JSON object."""
+    names = ("workload", "key", "a", "b")
+    examples = [dict(zip(names, example, strict=True)) for example in comparison.otherwise]
+    changes = [
+        {"a": before, "b": after, "count": number} for (before, after), number in comparison.changes.items()
+    ]
+    details = {"changes": changes, "examples": examples, "ms": latency_quantiles(comparison)}
+    sys.stdout.buffer.write(orjson.dumps(count(comparison) | details) + b"\n")
+
+
+def print_text(comparison: Comparison) -> None:
+    """Print counts, changes of results, some examples of them, and latencies."""
+    for name, number in count(comparison).items():
+        print(f"{number:>10} {name.replace('_', ' ')}")
+    for (before, after), number in comparison.changes.most_common():
+        print(f"{number:>10} {before} became {after}")
+    for request_class, key, before, after in comparison.otherwise[:SHOWN_EXAMPLES]:
+        print(f"{'':>10} {harmless(request_class, 20)} {harmless(key, 30)}: {before}, then {after}")
+    for name, values in latency_quantiles(comparison).items():
+        print(quantile_line(name, values))
+
+
+def quantile_line(name: str, values: Quantiles) -> str:
+    """Return a line for people about some quantiles in ms.
+
+    >>> quantile_line("a", {"p50": 1.0, "p99": 2.5}), quantile_line("b", {})
+    ('         a ms: p50 1.000 p99 2.500', '         b ms: none')
+    """
+    text = " ".join(f"{quantile} {value:.3f}" for quantile, value in values.items())
+    return f"{name:>10} ms: {text or 'none'}"
