--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m gatebank``: serve, check a configuration, or tell the version."""
+"""``python -m gatebank``: run an instance, check its configuration, and the sub-commands of gatebank/cli/."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import os
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, NoReturn
 
 import typer
 
@@ -19,81 +19,97 @@
 if TYPE_CHECKING:
     from gatebank.operator_config.operators_file import OperatorsFile
 
+USAGE_STATUS = 2  # nothing was started; standard error says why
+
 app = typer.Typer(
     add_completion=False,
     no_args_is_help=True,
     pretty_exceptions_enable=False,
-    help="Tries out new builds on live traffic.",
+    help="A proxy that tries out new builds on live traffic.",
 )
-OrdersFile = Annotated[Path | None, typer.Option(help="The operators' file; without it all it sets is off.")]
+ConfigurationPath = Annotated[
+    str | None, typer.Argument(help="The configuration file; without it, the one that ROUTER_CONFIG names.")
+]
+OperatorsPath = Annotated[
+    Path | None, typer.Option(help="The operators' file; without it, everything that it can set is off.")
+]
+
 
+def environment_with(configuration: str | None) -> dict[str, str]:
+    """Return the process's environment, with the named configuration in place of its own."""
+    environment = dict(os.environ)
+    if configuration:
+        environment["ROUTER_CONFIG"] = configuration
+    return environment
 
-def surroundings(configuration: str | None) -> dict[str, str]:
-    return dict(os.environ) | ({"ROUTER_CONFIG": configuration} if configuration else {})
 
+def fail(reason: object) -> NoReturn:
+    """End with one line on standard error and status 2."""
+    print(f"gatebank: {reason}".replace("\n", " "), file=sys.stderr)
+    raise typer.Exit(USAGE_STATUS)
 
-def refuse(trouble: Exception) -> None:
-    print(f"gatebank: {trouble}".replace("\n", " "), file=sys.stderr)
-    raise typer.Exit(2)
 
+def read_operators_file(path: Path | None) -> OperatorsFile | None:
+    """Return the operators' file, checked, or None if there is none.
 
-def operators(path: Path | None) -> OperatorsFile | None:
-    """The operators' file, checked whole; each fault in it is a line on standard error."""
+    Raises:
+        typer.Exit: Status 2 if its libraries are missing, or if it has faults: one line for each on standard
+            error.
+    """
     if path is None:
         return None
-    try:
+    try:  # its libraries are an extra, which a service without the file does not need
         from gatebank.operator_config.operators_file import Unusable, read
-    except ModuleNotFoundError as trouble:
-        print(f"gatebank: --orders needs the extra gatebank[operators]: {trouble}", file=sys.stderr)
-        raise typer.Exit(2) from None
+    except ModuleNotFoundError as error:
+        fail(f"--orders needs the extra gatebank[operators]: {error}")
     try:
         return read(path)
-    except Unusable as trouble:
-        print(trouble, file=sys.stderr)
-        raise typer.Exit(2) from None
+    except Unusable as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(USAGE_STATUS) from None
 
 
 @app.command()
 def serve(
-    configuration: str = typer.Argument(None, help="Configuration file; else ROUTER_CONFIG names it."),
-    log_level: str = typer.Option("info", help="debug, info, warning or error."),
-    orders: OrdersFile = None,
+    configuration: ConfigurationPath = None,
+    log_level: Annotated[str, typer.Option(help="debug, info, warning or error.")] = "info",
+    orders: OperatorsPath = None,
 ) -> None:
-    """Run one marshal until SIGTERM; SIGHUP has it read its configuration again."""
+    """Run one instance until SIGTERM; on SIGHUP it reads its configuration again."""
     log.begin(log_level)
-    environment = surroundings(configuration)
+    environment = environment_with(configuration)
     try:
-        service.serve(load_configuration(environment), environment, operators(orders))
-    except ConfigurationError as trouble:
-        refuse(trouble)
+        service.serve(load_configuration(environment), environment, read_operators_file(orders))
+    except ConfigurationError as error:
+        fail(error)
 
 
 @app.command()
-def check(
-    configuration: str = typer.Argument(None, help="Configuration file; else ROUTER_CONFIG names it."),
-    orders: OrdersFile = None,
-) -> None:
-    """Say whether a marshal can start with this configuration, without starting it."""
-    extra = operators(orders)
+def check(configuration: ConfigurationPath = None, orders: OperatorsPath = None) -> None:
+    """Tell whether an instance could start with this configuration, without starting it."""
+    operators_file = read_operators_file(orders)
     try:
-        found = load_configuration(surroundings(configuration))
+        found = load_configuration(environment_with(configuration))
         service.at_start(found, discovery.EndpointRegistry(found.settings))
-    except ConfigurationError as trouble:
-        refuse(trouble)
-    workloads = ", ".join(str(each.name) for each in found.settings.request_classes)
-    print(f"{found.name}: listens on {found.listen[0]}:{found.listen[1]}; workloads {workloads}")
-    if extra:
-        print(f"{orders}: {', '.join(each.section for each, _ in extra.sections) or 'no sections'}")
+    except ConfigurationError as error:
+        fail(error)
+    host, port = found.listen
+    request_classes = ", ".join(str(request_class.name) for request_class in found.settings.request_classes)
+    print(f"{found.name}: listens on {host}:{port}; workloads {request_classes}")
+    if operators_file:
+        sections = ", ".join(section.section for section, _ in operators_file.sections)
+        print(f"{orders}: {sections or 'no sections'}")
 
 
 @app.command()
 def version() -> None:
-    """Tell the version."""
+    """Print the version."""
     print(__version__)
 
 
 def main() -> None:
-    if sys.argv[1:2] != ["serve"]:  # a marshal holds nothing that it does not use
+    """Run the command that the command line names."""
+    if sys.argv[1:2] != ["serve"]:  # an instance keeps nothing in memory that it does not use
         from gatebank.cli import fleet, keys, learn
         from gatebank.cli.capture import commands as capture
 
