--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,4 @@
-"""Measurements, run by hand: `python -m benchmarks.NAME`. Figures are ratios within one run."""
+"""Measurements, run by hand: ``python -m benchmarks.NAME``, each with ``--help`` where it takes options.
+
+Figures are ratios within one run: other work on a machine changes all of them alike.
+"""
