--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -16,7 +16,7 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from gatebank.fakes.clients import invocation
+from gatebank.fakes.clients import random_request
 from gatebank.proxy import resp
 
 
@@ -34,7 +34,7 @@
 
     def ask(self, due: float) -> None:
         self.due.append(due)
-        self.transport.write(resp.command(invocation(self.load.chance)))
+        self.transport.write(resp.command(random_request(self.load.chance)))
 
     def data_received(self, data: bytes) -> None:
         inbox = resp.Inbox.over(self.data + data)
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from gatebank.capture import writing
-from gatebank.fakes.clients import invocation
+from gatebank.fakes.clients import random_request
 from gatebank.proxy import resp
 
 START = 1_700_000_000_000_000_000
@@ -52,7 +52,7 @@
             yield from block(raw)
     for _ in range(exchanges):
         talk = chance.choice(talks)
-        yield from say(talk, 0, resp.command(invocation(chance)))
+        yield from say(talk, 0, resp.command(random_request(chance)))
         at += STEP
         yield from say(talk, 1, b"$%d\r\n%b\r\n" % (len(body), body))
         at += STEP
--- /dev/null
+++ b/gatebank/fakes/command_counts.py
@@ -0,0 +1,74 @@
+"""What reached the fake endpoints, and what they executed, by request id, idempotency key and address."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+def command_fields(words: list[bytes]) -> dict[bytes, bytes]:
+    """Return the named fields of a command.
+
+    >>> command_fields([b"Q.ASK", b"k", b"i", b"c=read,d=5"])
+    {b'c': b'read', b'd': b'5'}
+    """
+    if len(words) < 4:
+        return {}
+    pairs = (pair.partition(b"=") for pair in words[3].split(b","))
+    return {name: value for name, _, value in pairs}
+
+
+@dataclass
+class CommandCounts:
+    """Counts of all endpoints of a world; grows with what is sent to it, until `clear`.
+
+    Attributes:
+        received: Commands, whatever became of them.
+        by_address: Commands received, by the endpoint's address.
+        received_by_id: Commands received, by request id.
+        executed_by_id: Commands executed, by request id; the others below by what their names say.
+    """
+
+    received: int = 0
+    by_address: Counter[str] = field(default_factory=Counter)
+    received_by_id: Counter[bytes] = field(default_factory=Counter)
+    executed_by_id: Counter[bytes] = field(default_factory=Counter)
+    executed_by_idempotency_key: Counter[bytes] = field(default_factory=Counter)
+    executed_by_body: Counter[bytes] = field(default_factory=Counter)
+    executed_by_class: Counter[bytes] = field(default_factory=Counter)
+
+    def count_received(self, address: str, words: list[bytes]) -> None:
+        """Count a command that reached the endpoint at an address."""
+        self.received += 1
+        self.by_address[address] += 1
+        if len(words) > 2:
+            self.received_by_id[words[2]] += 1
+
+    def count_executed(self, words: list[bytes]) -> None:
+        """Count a command that an endpoint executed."""
+        fields = command_fields(words)
+        if len(words) > 2:
+            self.executed_by_id[words[2]] += 1
+        if b"k" in fields:
+            self.executed_by_idempotency_key[fields[b"k"]] += 1
+        if len(words) > 4:
+            self.executed_by_body[words[4]] += 1
+        self.executed_by_class[fields.get(b"c", b"")] += 1
+
+    def executed_twice(self) -> list[bytes]:
+        """Return the request ids and idempotency keys that were executed more than once."""
+        tables = (self.executed_by_id, self.executed_by_idempotency_key)
+        return [name for table in tables for name, count in table.items() if count > 1]
+
+    def clear(self) -> None:
+        """Count from nothing again."""
+        self.received = 0
+        for table in (
+            self.by_address,
+            self.received_by_id,
+            self.executed_by_id,
+            self.executed_by_idempotency_key,
+            self.executed_by_body,
+            self.executed_by_class,
+        ):
+            table.clear()
--- /dev/null
+++ b/gatebank/fakes/endpoint.py
@@ -0,0 +1,159 @@
+"""A fake endpoint: it replies to every command with its own name, unless its world says otherwise.
+
+What else it can be told to do:
+
+late:S      replies after S seconds         hang      never replies, until the other side ends
+half        a part of a reply, then ends    stops     a part of a reply, and no more
+cut         ends without a reply            cut:N     ends after N bytes of its reply
+reset       resets the connection           busy, error, garbage, null, plus, value:N, ...
+refuse      also resets each new connection (`World.faults` only)
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from gatebank.fakes.command_counts import command_fields
+from gatebank.fakes.wire import read_command
+
+if TYPE_CHECKING:
+    from gatebank.fakes.world import World
+
+PARTIAL_REPLY = b"*3\r\n$100\r\nonly so much"
+LOAD_REPORT = b"inflight=1,util=0.5"
+REPLIES = {
+    "error": b"-ERR failed inflight=1,util=0.5\r\n",
+    "busy": b"-BUSY\r\n",
+    "garbage": b"!what is this\r\n",
+    "null": b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+    "plus": b"+OK\r\n",
+    "half": PARTIAL_REPLY,
+    "stops": PARTIAL_REPLY,
+}  # by what the endpoint is to do; all else replies with a value
+ENDING = ("half", "cut")  # after these the endpoint ends the connection
+
+
+@dataclass
+class FakeEndpoint:
+    """One endpoint of a world.
+
+    Attributes:
+        connections: Those that are open.
+        idempotency_keys: When each was last seen, in the loop's time; as many as were sent.
+    """
+
+    world: World
+    name: str
+    build: int
+    host: str
+    port: int = 0
+    lifecycle: str = "SERVING"
+    server: asyncio.Server | None = None
+    connections: set[asyncio.StreamWriter] = field(default_factory=set)
+    idempotency_keys: dict[bytes, float] = field(default_factory=dict)
+
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return f"{self.host}:{self.port}"
+
+    async def start(self) -> None:
+        """Listen; a port of 0 is replaced by a free one."""
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Do as if the process died: connections are reset, new ones refused."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until it ends."""
+        self.connections.add(writer)
+        fault = self.world.faults.get(self.name, "")
+        if fault == "refuse":
+            writer.transport.abort()
+        try:
+            while await self.serve_command(reader, writer, fault):
+                pass
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
+            pass  # the other side ended, or sent what is not RESP2
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+            self.world.notify()
+
+    async def serve_command(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: str
+    ) -> bool:
+        """Serve the next command of a connection.
+
+        Args:
+            reader: The connection's.
+            writer: The connection's.
+            fault: What is done where the world plans nothing else; empty to reply with a value.
+
+        Returns:
+            False if the connection is to be closed.
+        """
+        words = await read_command(reader)
+        if words[0] == b"PING":
+            writer.write(b"+PONG\r\n")
+            return True
+        self.world.received.append((self.name, words))
+        self.world.counts.count_received(self.address, words)
+        self.world.notify()
+        behaviour = self.world.next_behaviour(self.name, fault)
+        if behaviour != "busy":
+            self.execute(words)
+        if behaviour == "hang":
+            await reader.read()  # until the other side gives up
+            return False
+        return await self.reply(behaviour, writer)
+
+    def execute(self, words: list[bytes]) -> None:
+        """Execute a command, unless its idempotency key was seen within the world's `key_memory`."""
+        key = command_fields(words).get(b"k")
+        now = asyncio.get_running_loop().time()
+        memory = self.world.key_memory
+        if key and memory:
+            last_seen = self.idempotency_keys.get(key)
+            self.idempotency_keys[key] = now
+            if last_seen is not None and now - last_seen < memory:
+                return
+        self.world.counts.count_executed(words)
+
+    async def reply(self, behaviour: str, writer: asyncio.StreamWriter) -> bool:
+        """Reply as the behaviour says; False if the connection is to be closed."""
+        kind, _, amount = behaviour.partition(":")
+        if kind == "reset":
+            writer.transport.abort()
+            return False
+        await asyncio.sleep(self.world.reply_time * random.uniform(0.5, 1.5))
+        if kind in ("slow", "late"):
+            await asyncio.sleep(float(amount))
+        writer.write(self.encoded_reply(kind, amount))
+        await writer.drain()
+        return kind not in ENDING
+
+    def encoded_reply(self, kind: str, amount: str) -> bytes:
+        """Return the bytes of a reply; ``amount`` is what followed the colon in the behaviour."""
+        value = self.name.encode()
+        if kind == "value" and amount:
+            value *= int(amount)
+        load_report = b"inflight=?" if kind == "broken_report" else LOAD_REPORT
+        whole = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (
+            len(value),
+            value,
+            len(load_report),
+            load_report,
+        )
+        if kind == "cut":
+            return whole[: int(amount or 0)]
+        behind = {"unasked": b"+unasked\r\n", "twice": whole, "noise": b"\x00\xff*"}
+        return REPLIES.get(kind, whole) + behind.get(kind, b"")
