--- a/benchmarks/recording.py
+++ b/benchmarks/recording.py
@@ -1,4 +1,4 @@
-"""What recording costs an instance: its highest rate, and latencies at a fixed rate, with and without, in turn.
+"""What recording costs an instance: its highest rate, and latencies at a fixed one, with and without it.
 
 python -m benchmarks.recording [--rounds N]
 """
--- a/benchmarks/roundtrip.py
+++ b/benchmarks/roundtrip.py
@@ -1,9 +1,9 @@
-"""The round trip: recorded on loopback, read, and replayed; what reached the endpoints is compared one by one.
+"""The round trip: recorded on loopback, read, and replayed; what reached the endpoints is compared.
 
     python -m benchmarks.roundtrip
 
-Three rates; the last is as many requests a second as one instance bears. How late the replay was is its timing
-error.
+Three rates; the last is as many requests a second as one instance bears. How late the replay was is its
+timing error.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
 
 
 def contents(counts: EndpointCounts) -> Counter[tuple[str, str, int]]:
-    """Return request class, key and body size of all requests; which endpoint got them is the instance's choice."""
+    """Return request class, key and body size of all requests, whichever endpoint got them."""
     return Counter((key, fields.split(",")[0], size) for key, fields, size in counts.requests)
 
 
