--- a/gatebank/cli/options.py
+++ b/gatebank/cli/options.py
@@ -42,34 +42,42 @@
     """
 
     def decorate(function: Callable[..., None]) -> Callable[..., None]:
-        hints = get_type_hints(function, include_extras=True)
-        groups: dict[str, type[Any]] = {
-            name: hint for name, hint in hints.items() if isinstance(hint, type) and is_dataclass(hint)
-        }
-        parameters: list[inspect.Parameter] = []
-        for parameter in inspect.signature(function).parameters.values():
-            if parameter.name in groups:
-                parameters += group_parameters(groups[parameter.name])
-            else:
-                parameters.append(keyword(parameter.name, hints[parameter.name], parameter.default))
-
-        def run(**values: object) -> None:
-            for parameter, group in groups.items():
-                values[parameter] = group(**{field.name: values.pop(field.name) for field in fields(group)})
-            try:
-                function(**values)
-            except CommandLineError as error:
-                fail(error)
-
-        run.__name__ = function.__name__
-        run.__doc__ = function.__doc__
-        run.__annotations__ = {each.name: each.annotation for each in parameters}
-        run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
-        return app.command(name)(run)
+        return app.command(name)(with_single_options(function))
 
     return decorate
 
 
+def with_single_options(function: Callable[..., None]) -> Callable[..., None]:
+    """Return a function for typer, with one keyword parameter for each option of the groups.
+
+    Called, it gathers the groups again, calls ``function``, and ends the process on a CommandLineError.
+    """
+    hints = get_type_hints(function, include_extras=True)
+    groups: dict[str, type[Any]] = {
+        name: hint for name, hint in hints.items() if isinstance(hint, type) and is_dataclass(hint)
+    }
+    parameters: list[inspect.Parameter] = []
+    for parameter in inspect.signature(function).parameters.values():
+        if parameter.name in groups:
+            parameters += group_parameters(groups[parameter.name])
+        else:
+            parameters.append(keyword(parameter.name, hints[parameter.name], parameter.default))
+
+    def run(**values: object) -> None:
+        for name, group in groups.items():
+            values[name] = group(**{field.name: values.pop(field.name) for field in fields(group)})
+        try:
+            function(**values)
+        except CommandLineError as error:
+            fail(error)
+
+    run.__name__ = function.__name__
+    run.__doc__ = function.__doc__
+    run.__annotations__ = {parameter.name: parameter.annotation for parameter in parameters}
+    run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+    return run
+
+
 def group_parameters(group: type[Any]) -> list[inspect.Parameter]:
     """Return one keyword parameter for each field of a group of options."""
     hints = get_type_hints(group, include_extras=True)
