--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from benchmarks.harness import BASE_REVISION, ROOT, Spread, in_turn, other_revision, run_json
-from tests.support.simulated_fleet import Session, settings_of
+from tests.support.recorded_sessions import Session, settings_of
 
 DRIVER = Path(__file__).with_name("module_driver.py")
 ADAPTERS = ("gatebank.simulator", "gatebank.adapter")  # by their names of today and earlier
--- a/benchmarks/same_decisions.py
+++ b/benchmarks/same_decisions.py
@@ -15,7 +15,8 @@
 
 from benchmarks.harness import BASE_REVISION, ROOT, other_revision
 from tests.support import simulated_fleet
-from tests.support.simulated_fleet import SESSIONS, Adapter, Fleet, Session
+from tests.support.recorded_sessions import SESSIONS, Session
+from tests.support.simulated_fleet import Adapter, Fleet
 
 FIRST_SEED = 1000
 
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -12,7 +12,8 @@
 import pytest
 import zstandard
 
-from tests.support.simulated_fleet import SESSIONS, Adapter, Fleet, Session
+from tests.support.recorded_sessions import SESSIONS, Session
+from tests.support.simulated_fleet import Adapter, Fleet
 
 RECORDED = Path(__file__).parent / "data" / "recorded_decisions"
 
