--- a/benchmarks/reading.py
+++ b/benchmarks/reading.py
@@ -16,8 +16,8 @@
 import dpkt
 
 from benchmarks import traffic
-from gatebank.capture.packets import Packets
-from gatebank.capture.reading import Reading
+from gatebank.capture.packets import PacketReader
+from gatebank.capture.reading import CaptureReader
 
 KINDS = {  # exchanges, value, segment, swapped
     "large segments": (4_000, 60_000, 32_768, 0.0),
@@ -29,7 +29,7 @@
 
 
 def plain(data: list[bytes]) -> int:
-    packets, decode, count = Packets(), dpkt.ethernet.Ethernet, 0
+    packets, decode, count = PacketReader(), dpkt.ethernet.Ethernet, 0
     for piece in data:
         for packet in packets.feed(piece):
             decode(packet.data)
@@ -38,12 +38,12 @@
 
 
 def framing(data: list[bytes]) -> int:
-    packets = Packets()
+    packets = PacketReader()
     return sum(1 for piece in data for _ in packets.feed(piece))
 
 
 def ours(data: list[bytes]) -> int:
-    reading, count = Reading(), 0
+    reading, count = CaptureReader(), 0
     for piece in data:
         for exchange in reading.feed(piece):
             count += exchange.whole
@@ -78,13 +78,13 @@
 def hold(megabytes: int) -> None:
     """One reading of so much traffic, made as it is read; prints the peak memory in MB."""
     exchanges = megabytes * 1_000_000 // 20_400
-    reading, count = Reading(), 0
+    reading, count = CaptureReader(), 0
     for piece in traffic.pieces(traffic.capture(exchanges, 20_000, 16_384)):
         for exchange in reading.feed(piece):
             count += exchange.whole
     count += sum(exchange.whole for exchange in reading.end())
     assert count == exchanges, (count, exchanges)
-    print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024, reading.packets.read)
+    print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024, reading.packets.bytes_read)
 
 
 def memory() -> None:
--- a/gatebank/capture/compare.py
+++ b/gatebank/capture/compare.py
@@ -1,7 +1,7 @@
-"""Exchanges of two captures matched: what became otherwise, what is in one only, latencies. No I/O.
+"""Exchanges of two captures matched: what ended otherwise, what is in one only, latencies. No I/O.
 
-A replay's ids are new, so exchanges match by what stays: workload, customer, key, ticket's presence and body;
-among the same, in the order of asking.
+A replay's ids are new, so exchanges match by what stays the same: request class, tenant, key, whether there
+is an idempotency key, and body; among equal ones, in the order of asking.
 """
 
 from __future__ import annotations
@@ -9,99 +9,163 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import NamedTuple
 
-from hdrh.histogram import HdrHistogram
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from gatebank.capture.records import Exchange
+from gatebank.capture.records import COMMAND, KEY, Exchange
 
-MOST_WAITING = 1_000_000  # exchanges of one capture that wait for the other's; each takes about 300 bytes
-LONGEST, DIGITS = 3_600_000_000, 3  # us, and significant digits of the histograms
-QUANTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+MAX_WAITING = 1_000_000  # exchanges of one capture that wait for the other's; each takes about 300 bytes
+MAX_EXAMPLES = 1000  # pairs with different outcomes that are named, not only counted
+MAX_LATENCY_US = 3_600_000_000  # an hour; longer ones count as that
+SIGNIFICANT_DIGITS = 3  # of the histograms
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+NS_PER_US = 1000
+US_PER_MS = 1000
+FINGERPRINT_BYTES = 16
 
 
-def latencies() -> HdrHistogram:
-    """Of microseconds, from 1 us to an hour."""
-    return HdrHistogram(1, LONGEST, DIGITS)
+def latency_histogram() -> HdrHistogram:
+    """A histogram of us, from 1 us to an hour."""
+    return HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
 
 
-def quantiles(found: HdrHistogram) -> dict[str, float]:
-    """In milliseconds; empty where nothing was counted."""
-    if not found.get_total_count():
+def percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    """PERCENTILES in ms, by names like "p99.9"; empty where nothing was counted."""
+    if not histogram.get_total_count():
         return {}
-    return {f"p{each:g}": found.get_value_at_percentile(each) / 1000 for each in QUANTILES}
+    return {
+        f"p{percentile:g}": histogram.get_value_at_percentile(percentile) / US_PER_MS
+        for percentile in PERCENTILES
+    }
 
 
-def took(exchange: Exchange) -> int | None:
-    """us from asking to answer."""
+def latency_us(exchange: Exchange) -> int | None:
+    """Microseconds from command to response, at least 1; None if one of the times is not known."""
     if exchange.asked_at is None or exchange.answered_at is None:
         return None
-    return min(LONGEST, max(1, (exchange.answered_at - exchange.asked_at) // 1000))
+    return min(MAX_LATENCY_US, max(1, (exchange.answered_at - exchange.asked_at) // NS_PER_US))
+
+
+def fingerprint(exchange: Exchange) -> bytes:
+    """A hash of what a replay leaves as it was."""
+    arguments = exchange.arguments
+    parts = [
+        exchange.side.encode(),
+        arguments[COMMAND].upper() if arguments else b"",
+        arguments[KEY] if len(arguments) > KEY else b"",
+        (exchange.request_class or "").encode(),
+        (exchange.tenant or "").encode(),
+        b"k" if exchange.idempotency_key else b"",
+        exchange.body or b"",
+    ]
+    framed = b"".join(len(part).to_bytes(8, "big") + part for part in parts)
+    return blake2b(framed, digest_size=FINGERPRINT_BYTES).digest()
+
+
+@dataclass(slots=True, frozen=True)
+class WaitingExchange:
+    """What is needed of an exchange of the first capture until its match comes.
+
+    Attributes:
+        ended: Its outcome.
+        latency: us from command to response; None if not known.
+        request_class: Its request class; may be empty.
+        key: Its key; may be empty.
+    """
 
+    ended: str
+    latency: int | None
+    request_class: str
+    key: str
 
-def likeness(exchange: Exchange) -> bytes:
-    words = exchange.words
-    parts = [exchange.side.encode(), words[0].upper() if words else b"", words[1] if len(words) > 1 else b""]
-    parts += [(each or "").encode() for each in (exchange.workload, exchange.customer)]
-    parts += [b"k" if exchange.ticket else b"", exchange.body or b""]
-    return blake2b(b"".join(len(p).to_bytes(8, "big") + p for p in parts), digest_size=16).digest()
 
+class OutcomeChange(NamedTuple):
+    """The outcomes of a matched pair in the two captures."""
 
-@dataclass(slots=True)
-class Kept:
-    """What is needed of an exchange whose match is still to come."""
+    a: str
+    b: str
 
-    ended: str
-    took: int | None
-    workload: str
+
+class ChangedExchange(NamedTuple):
+    """A matched pair that ended otherwise: its request class and key, and its two outcomes."""
+
+    request_class: str
     key: str
+    a: str
+    b: str
 
 
-@dataclass
+@dataclass(slots=True)
 class Comparison:
-    """Feed it both captures, ``a`` whole and then ``b``."""
+    """Matches two captures; it is given all of the first by `add_a`, then the second by `add_b`.
+
+    Attributes:
+        matched: Pairs.
+        only_b: Exchanges of the second capture that match none of the first.
+        changes: How often an outcome became another one.
+        examples: The first MAX_EXAMPLES pairs that ended otherwise.
+        latency_a: us, of all of the first capture.
+        latency_b: us, of all of the second capture.
+        slower: By how many us the second was slower, of pairs where it was.
+        faster: By how many us the second was faster, of pairs where it was.
+    """
 
-    waiting: dict[bytes, deque[Kept]] = field(default_factory=dict)
-    held: int = 0
     matched: int = 0
     only_b: int = 0
-    not_held: int = 0  # of a, beyond MOST_WAITING
-    changes: Counter[tuple[str, str]] = field(default_factory=Counter)
-    otherwise: list[tuple[str, str, str, str]] = field(default_factory=list)  # workload, key, a's ending, b's
-    all_a: HdrHistogram = field(default_factory=latencies)
-    all_b: HdrHistogram = field(default_factory=latencies)
-    slower: HdrHistogram = field(default_factory=latencies)  # by how much b was slower, us
-    faster: HdrHistogram = field(default_factory=latencies)
-
-    def a(self, exchange: Exchange) -> None:
-        if (time := took(exchange)) is not None:
-            self.all_a.record_value(time)
-        if self.held >= MOST_WAITING:
-            self.not_held += 1
+    changes: Counter[OutcomeChange] = field(default_factory=Counter)
+    examples: list[ChangedExchange] = field(default_factory=list)
+    latency_a: HdrHistogram = field(default_factory=latency_histogram)
+    latency_b: HdrHistogram = field(default_factory=latency_histogram)
+    slower: HdrHistogram = field(default_factory=latency_histogram)
+    faster: HdrHistogram = field(default_factory=latency_histogram)
+    _waiting: dict[bytes, deque[WaitingExchange]] = field(default_factory=dict)
+    _waiting_count: int = 0
+    _not_held: int = 0  # of the first capture, beyond MAX_WAITING
+
+    @property
+    def only_a(self) -> int:
+        """Exchanges of the first capture that match none of the second, as far as that has been read."""
+        return self._waiting_count + self._not_held
+
+    def add_a(self, exchange: Exchange) -> None:
+        """Adds an exchange of the first capture."""
+        latency = latency_us(exchange)
+        if latency is not None:
+            self.latency_a.record_value(latency)
+        if self._waiting_count >= MAX_WAITING:
+            self._not_held += 1
             return
-        self.held += 1
-        kept = Kept(exchange.ended, time, exchange.workload or "", exchange.key or "")
-        self.waiting.setdefault(likeness(exchange), deque()).append(kept)
-
-    def b(self, exchange: Exchange, most: int = 1000) -> None:
-        if (time := took(exchange)) is not None:
-            self.all_b.record_value(time)
-        name = likeness(exchange)
-        same = self.waiting.get(name)
-        if not same:
+        self._waiting_count += 1
+        waiting = WaitingExchange(exchange.ended, latency, exchange.request_class or "", exchange.key or "")
+        self._waiting.setdefault(fingerprint(exchange), deque()).append(waiting)
+
+    def add_b(self, exchange: Exchange) -> None:
+        """Adds an exchange of the second capture."""
+        latency = latency_us(exchange)
+        if latency is not None:
+            self.latency_b.record_value(latency)
+        first = self._take_match(exchange)
+        if first is None:
             self.only_b += 1
             return
-        kept = same.popleft()
-        if not same:
-            del self.waiting[name]
-        self.held -= 1
         self.matched += 1
-        if kept.ended != exchange.ended:
-            self.changes[kept.ended, exchange.ended] += 1
-            if len(self.otherwise) < most:
-                self.otherwise.append((kept.workload, kept.key, kept.ended, exchange.ended))
-        if time is not None and kept.took is not None and time != kept.took:
-            (self.slower if time > kept.took else self.faster).record_value(abs(time - kept.took))
-
-    @property
-    def only_a(self) -> int:
-        return self.held + self.not_held
+        if first.ended != exchange.ended:
+            self.changes[OutcomeChange(first.ended, exchange.ended)] += 1
+            if len(self.examples) < MAX_EXAMPLES:
+                changed = ChangedExchange(first.request_class, first.key, first.ended, exchange.ended)
+                self.examples.append(changed)
+        if latency is not None and first.latency is not None and latency != first.latency:
+            histogram = self.slower if latency > first.latency else self.faster
+            histogram.record_value(abs(latency - first.latency))
+
+    def _take_match(self, exchange: Exchange) -> WaitingExchange | None:
+        name = fingerprint(exchange)
+        equal = self._waiting.get(name)
+        if not equal:
+            return None
+        first = equal.popleft()
+        if not equal:
+            del self._waiting[name]
+        self._waiting_count -= 1
+        return first
--- /dev/null
+++ b/gatebank/capture/reassembly.py
@@ -0,0 +1,382 @@
+"""TCP reassembly: segments in; the bytes of each direction out, in order, with the gaps in them. No I/O.
+
+What was sent again is dropped, what comes early waits, sequence numbers wrap (RFC 9293). Order holds across
+both directions too: a segment that acknowledges bytes which are not here yet was sent after them, so it waits
+for them. Otherwise two packets that a capture swapped would give a response to the wrong command.
+
+A gap is reported once it is certain: the receiver acknowledged bytes that the capture lacks and that did not
+come within MAX_LATENESS_NS, a limit on what may wait is reached, the packet was cut by the snap length, or
+the connection is over. What the receiver did not acknowledge may still be sent again, and is waited for.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+from gatebank.capture.connections import (
+    HALF_SEQUENCE_SPACE,
+    SEQUENCE_MASK,
+    UNKNOWN,
+    Connection,
+    Direction,
+    DirectionState,
+    EndReason,
+    WaitingSegment,
+)
+from gatebank.capture.limits import ReadingLimits
+from gatebank.capture.segments import ACK, FIN, RST, SYN, Segment
+
+NS_PER_SECOND = 1e9
+# ns of the capture's clock that an acknowledged byte may come late: the disorder between two taps.
+MAX_LATENESS_NS = 200_000_000
+# ns that an ended connection is remembered, so that late copies of its packets open no new one.
+LINGER_NS = 60_000_000_000
+# Bytes: a segment further ahead than the largest usual windows belongs to another connection.
+MAX_AHEAD_BYTES = 1 << 24
+
+
+class ConnectionKey(NamedTuple):
+    """The addresses and ports of a connection, the lower end first, so that both directions have the same."""
+
+    low_host: int | bytes
+    low_port: int
+    high_host: int | bytes
+    high_port: int
+
+
+class ConnectionListener(Protocol):
+    """Hears of connections and their bytes.
+
+    Times are ns of the capture's clock; ``side`` is who sent, as in `Connection`.
+    """
+
+    def on_open(self, connection: Connection, at: int) -> None:
+        """A connection is followed from here on."""
+        ...
+
+    def on_data(self, connection: Connection, side: int, at: int, data: bytes) -> None:
+        """The next bytes of one direction."""
+        ...
+
+    def on_gap(self, connection: Connection, side: int, at: int, size: int) -> None:
+        """The next ``size`` bytes of one direction are not in the capture."""
+        ...
+
+    def on_end(self, connection: Connection, at: int, reason: EndReason) -> None:
+        """Nothing more comes of this connection."""
+        ...
+
+
+@dataclass(slots=True)
+class ReassemblyCounts:
+    """Counters of one reading, by the names that `capture check` prints."""
+
+    streams: int = 0
+    begun_before: int = 0  # connections whose SYN the capture lacks
+    sent_again: int = 0
+    out_of_order: int = 0
+    held_for_order: int = 0  # segments that waited for bytes of the other direction
+    holes: int = 0
+    hole_bytes: int = 0
+    given_up_room: int = 0
+    given_up_idle: int = 0
+    given_up_gap: int = 0
+    ends_without_data: int = 0  # segments without payload of connections that are not followed
+
+
+class TcpReassembler:
+    """Follows all connections of a capture.
+
+    Args:
+        limits: The limits of this reading.
+        listener: Hears of connections and their bytes.
+
+    Attributes:
+        counts: What was seen and given up.
+        held_bytes: Memory that all waiting segments take.
+    """
+
+    def __init__(self, limits: ReadingLimits, listener: ConnectionListener) -> None:
+        self.counts = ReassemblyCounts()
+        self.held_bytes = 0
+        self._limits = limits
+        self._listener = listener
+        # The least recently active first. Each is removed when it ended long ago, when idle for too long, or
+        # to make room.
+        self._connections: OrderedDict[ConnectionKey, Connection] = OrderedDict()
+        self._last_number = 0
+        self._now = 0  # ns of the capture's clock; never goes back
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that are remembered."""
+        return len(self._connections)
+
+    def add(
+        self, segment: Segment, at: int, packet: int = 0, recorded_side: str | None = None
+    ) -> Connection | None:
+        """Takes in one segment.
+
+        Args:
+            segment: The segment.
+            at: ns of the capture's clock.
+            packet: The number of its packet.
+            recorded_side: "customer" or "node" where the capture says which.
+
+        Returns:
+            The connection that it belongs to; None if that is not followed.
+        """
+        self._move_clock(at)
+        key = _connection_key(segment)
+        connection = self._connections.get(key)
+        if connection is not None and self._opens_another(connection, segment):
+            self._end(connection, at, EndReason.PORTS_REUSED)
+            del self._connections[key]
+            connection = None
+        if connection is not None:
+            self._connections.move_to_end(key)
+        elif segment.payload or segment.missing or segment.flags & SYN:
+            connection = self._open(key, segment, at)
+        else:
+            self.counts.ends_without_data += 1  # the end of one that this capture no longer holds
+            return None
+        connection.last_seen = max(connection.last_seen, at)
+        connection.packet = packet
+        connection.recorded_side = recorded_side or connection.recorded_side
+        if connection.end_reason is None:
+            self._take_in(connection, connection.side_of(segment), segment, at)
+        elif segment.payload:
+            self.counts.sent_again += 1
+        if self._connections and self._now - next(iter(self._connections.values())).last_seen > LINGER_NS:
+            self._remove_idle()
+        return connection
+
+    def end(self) -> None:
+        """Tells that the capture has ended: what is open has no end in it."""
+        for connection in self._connections.values():
+            if connection.end_reason is None:
+                self._end(connection, self._now, EndReason.CAPTURE_ENDED)
+        self._connections.clear()
+
+    # Opening and removing connections.
+
+    def _move_clock(self, at: int) -> None:
+        if at <= self._now:
+            return
+        if not self._now or at - self._now < self._limits.max_clock_step * NS_PER_SECOND:
+            self._now = at
+
+    @staticmethod
+    def _opens_another(connection: Connection, segment: Segment) -> bool:
+        """Whether this is the SYN of another connection with the same ports, and not the same sent again."""
+        if not segment.flags & SYN or segment.flags & ACK:
+            return False
+        direction = connection.directions[connection.side_of(segment)]
+        if connection.end_reason is not None or direction.syn_sequence != UNKNOWN:
+            return direction.syn_sequence != segment.sequence
+        return direction.next_sequence != (segment.sequence + 1) & SEQUENCE_MASK
+
+    def _open(self, key: ConnectionKey, segment: Segment, at: int) -> Connection:
+        while len(self._connections) >= self._limits.max_connections:
+            _, oldest = self._connections.popitem(last=False)
+            if oldest.end_reason is None:
+                self.counts.given_up_room += 1
+                self._end(oldest, at, EndReason.TOO_MANY_CONNECTIONS)
+        self._last_number += 1
+        self.counts.streams += 1
+        connection = Connection(self._last_number, segment, at)
+        self._connections[key] = connection
+        if segment.flags & SYN:
+            connection.begins_in_capture = True
+            connection.client_side = 1 if segment.flags & ACK else 0
+        else:
+            self.counts.begun_before += 1
+        self._listener.on_open(connection, at)
+        return connection
+
+    def _remove_idle(self) -> None:
+        """Removes what ended a while ago and what is idle for too long, from the least recently active on."""
+        idle_ns = int(self._limits.idle_timeout * NS_PER_SECOND)
+        for key, connection in list(self._connections.items()):
+            silence = self._now - connection.last_seen
+            if silence <= min(LINGER_NS, idle_ns):
+                return
+            if all(direction.fin_sequence != UNKNOWN for direction in connection.directions):
+                self._end(connection, self._now, EndReason.CLOSED)
+            if connection.end_reason is not None:
+                del self._connections[key]
+            elif silence > idle_ns:
+                del self._connections[key]
+                self.counts.given_up_idle += 1
+                self._end(connection, self._now, EndReason.IDLE)
+
+    def _end(self, connection: Connection, at: int, reason: EndReason) -> None:
+        if connection.end_reason is not None:
+            return
+        while connection.waiting:
+            self._force_oldest(connection)
+        for side, direction in enumerate(connection.directions):
+            if direction.state is DirectionState.FIN_SEEN:
+                size = direction.distance(direction.fin_sequence)
+                if size < HALF_SEQUENCE_SPACE:
+                    self._skip(connection, side, at, size)
+        connection.end_reason = reason
+        self._listener.on_end(connection, at, reason)
+        connection.decoder = None
+
+    # One segment of an open connection.
+
+    def _take_in(self, connection: Connection, side: int, segment: Segment, at: int) -> None:
+        direction = connection.directions[side]
+        other = connection.directions[1 - side]
+        flags = segment.flags
+        sequence = _learn_sequences(direction, other, segment)
+        if flags & RST:
+            self._end(connection, at, EndReason.RESET)
+            return
+        has_bytes = bool(segment.payload) or segment.missing > 0
+        if direction.next_sequence == UNKNOWN and (has_bytes or flags & FIN):
+            direction.next_sequence = sequence
+        if has_bytes:
+            self._take_in_payload(connection, side, sequence, segment, at)
+        elif connection.waiting:
+            self._deliver_waiting(connection, at)
+        if flags & FIN:
+            direction.fin_sequence = (sequence + len(segment.payload) + segment.missing) & SEQUENCE_MASK
+        if UNKNOWN not in (direction.fin_sequence, other.fin_sequence):
+            self._end_if_complete(connection, at)
+
+    def _take_in_payload(
+        self, connection: Connection, side: int, sequence: int, segment: Segment, at: int
+    ) -> None:
+        """Delivers the payload if it is the next in order; otherwise it waits."""
+        ack = segment.ack if segment.flags & ACK else UNKNOWN
+        if not connection.waiting and sequence == connection.directions[side].next_sequence:
+            unseen = connection.directions[1 - side].distance(ack) if ack != UNKNOWN else 0
+            if not 0 < unseen < HALF_SEQUENCE_SPACE:
+                self._deliver(connection, side, at, segment.payload, segment.missing)
+                return
+        waiting = WaitingSegment(side, sequence, segment.payload, segment.missing, ack, at, connection.packet)
+        self._wait(connection, waiting)
+
+    def _end_if_complete(self, connection: Connection, at: int) -> None:
+        """Ends a connection whose two FINs were seen once all bytes before them are here."""
+        if connection.waiting:
+            return
+        if all(direction.state is DirectionState.COMPLETE for direction in connection.directions):
+            self._end(connection, at, EndReason.CLOSED)
+
+    # Delivery.
+
+    def _deliver(self, connection: Connection, side: int, at: int, payload: bytes, missing: int) -> None:
+        connection.directions[side].advance(len(payload) + missing)
+        if payload:
+            self._listener.on_data(connection, side, at, payload)
+        if missing:
+            self._report_gap(connection, side, at, missing)
+
+    def _skip(self, connection: Connection, side: int, at: int, size: int) -> None:
+        connection.directions[side].advance(size)
+        self._report_gap(connection, side, at, size)
+
+    def _report_gap(self, connection: Connection, side: int, at: int, size: int) -> None:
+        self.counts.holes += 1
+        self.counts.hole_bytes += size
+        self._listener.on_gap(connection, side, at, size)
+
+    # Waiting segments.
+
+    def _wait(self, connection: Connection, segment: WaitingSegment) -> None:
+        ahead = connection.directions[segment.side].distance(segment.sequence)
+        size = len(segment.payload) + segment.missing
+        if ahead >= HALF_SEQUENCE_SPACE and SEQUENCE_MASK + 1 - ahead >= size:
+            self.counts.sent_again += 1  # all of it has been delivered
+            return
+        if MAX_AHEAD_BYTES < ahead < HALF_SEQUENCE_SPACE:
+            self.counts.given_up_gap += 1
+            return
+        for other in connection.waiting:
+            is_same = other.side == segment.side and other.sequence == segment.sequence
+            if is_same and len(other.payload) >= len(segment.payload):
+                self.counts.sent_again += 1
+                return
+        if 0 < ahead < HALF_SEQUENCE_SPACE:
+            self.counts.out_of_order += 1
+        else:
+            self.counts.held_for_order += 1
+        connection.waiting.append(segment)
+        connection.waiting_bytes += segment.held_bytes
+        self.held_bytes += segment.held_bytes
+        self._deliver_waiting(connection, segment.at)
+
+    def _deliver_waiting(self, connection: Connection, at: int) -> None:
+        """Delivers what fits by now, and by force what has waited for too long or takes too much room."""
+        while connection.waiting:
+            fitting = next((each for each in connection.waiting if connection.fits(each)), None)
+            if fitting is not None:
+                self._deliver_from_waiting(connection, fitting)
+                continue
+            oldest = connection.waiting[0]
+            if self._holds_too_much(connection):
+                self.counts.given_up_gap += 1
+            elif at - oldest.at < MAX_LATENESS_NS or not connection.lacks_received_bytes(oldest):
+                return
+            self._force_oldest(connection)
+
+    def _holds_too_much(self, connection: Connection) -> bool:
+        if connection.waiting_bytes > self._limits.max_gap_bytes:
+            return True
+        return self.held_bytes > self._limits.max_total_gap_bytes
+
+    def _force_oldest(self, connection: Connection) -> None:
+        """Skips the gap that the oldest waiting segment waits for, in the order in which things were sent."""
+        segment = connection.first_to_force()
+        if size := connection.missing_acknowledged(segment):
+            self._skip(connection, 1 - segment.side, segment.at, size)
+        ahead = connection.directions[segment.side].distance(segment.sequence)
+        if 0 < ahead < HALF_SEQUENCE_SPACE:
+            self._skip(connection, segment.side, segment.at, ahead)
+        self._deliver_from_waiting(connection, segment)
+
+    def _deliver_from_waiting(self, connection: Connection, segment: WaitingSegment) -> None:
+        """Delivers what is new of a segment, at the time and as the packet that it came with."""
+        connection.waiting.remove(segment)
+        connection.waiting_bytes -= segment.held_bytes
+        self.held_bytes -= segment.held_bytes
+        direction = connection.directions[segment.side]
+        seen = (direction.next_sequence - segment.sequence) & SEQUENCE_MASK
+        size = len(segment.payload)
+        packet_at_hand = connection.packet
+        connection.packet = segment.packet
+        if seen < size:
+            self._deliver(connection, segment.side, segment.at, segment.payload[seen:], segment.missing)
+        elif seen < size + segment.missing:
+            self._deliver(connection, segment.side, segment.at, b"", size + segment.missing - seen)
+        else:
+            self.counts.sent_again += 1
+        connection.packet = packet_at_hand
+
+
+def _learn_sequences(direction: Direction, other: Direction, segment: Segment) -> int:
+    """Enters what a segment's SYN and acknowledgement show; returns the number of its first byte."""
+    sequence = segment.sequence
+    if segment.flags & SYN:
+        sequence = (sequence + 1) & SEQUENCE_MASK
+        if direction.next_sequence == UNKNOWN:
+            direction.syn_sequence = segment.sequence
+            direction.next_sequence = sequence
+    if segment.flags & ACK:
+        other.acked_sequence = segment.ack
+        if other.next_sequence == UNKNOWN:
+            other.next_sequence = segment.ack  # the receiver has all before this: it is never sent again
+    return sequence
+
+
+def _connection_key(segment: Segment) -> ConnectionKey:
+    source, source_port, target, target_port = segment[:4]
+    # Both addresses of a segment are of one kind, so they can be compared.
+    if (source, source_port) > (target, target_port):
+        return ConnectionKey(target, target_port, source, source_port)
+    return ConnectionKey(source, source_port, target, target_port)
--- /dev/null
+++ b/gatebank/capture/responses.py
@@ -0,0 +1,65 @@
+"""What a response says of its exchange: the outcome, and which side of an instance the server is. No I/O."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from gatebank.capture.records import Exchange, ExchangeOutcome
+from gatebank.proxy import resp
+
+BUSY = b"BUSY"  # an instance that rejects adds after how many ms to try again; an endpoint does not
+ENDPOINT_ERROR = b"ERR failed"  # an endpoint's load report stands behind it
+# Places of an endpoint's response: the value, an unused word, the load report.
+LOAD_REPORT = 2
+ENDPOINT_WORDS = 3
+
+
+class PairedResponse(NamedTuple):
+    """A response and the exchange that it belongs to.
+
+    Attributes:
+        exchange: The exchange that it answers.
+        reply: The response; its words must outlive the buffer that they were read from.
+        at: ns of Unix time when its last byte came.
+        packet: The number of the packet with its last byte.
+    """
+
+    exchange: Exchange
+    reply: resp.Reply
+    at: int
+    packet: int
+
+
+def record_response(exchange: Exchange, reply: resp.Reply, at: int, packet: int) -> str | None:
+    """Enters a response in its exchange.
+
+    Returns:
+        The server's side, "customer" or "node", if the response's form shows it.
+    """
+    exchange.answered_at = at
+    exchange.whole = True
+    exchange.last_packet = packet
+    value = reply.words[0] if reply.words else None
+    if reply.mark in "$*" and value is not None:
+        exchange.ended = ExchangeOutcome.SERVED
+        exchange.value_bytes = len(value)
+        if len(reply.words) == ENDPOINT_WORDS and (load_report := reply.words[LOAD_REPORT]) is not None:
+            exchange.load_report = bytes(load_report)
+        return "node" if reply.mark == "*" else "customer"
+    return _record_error(exchange, reply.mark, bytes(value or b""))
+
+
+def _record_error(exchange: Exchange, mark: str, line: bytes) -> str | None:
+    """Enters a response without a value; its first byte is ``mark``."""
+    exchange.reply_line = line
+    is_error = mark == "-"
+    if is_error and line.startswith(BUSY):
+        exchange.ended = ExchangeOutcome.REJECTED
+        return None if line == BUSY else "customer"
+    exchange.ended = ExchangeOutcome.FAILED
+    if not is_error:
+        return None
+    if line.startswith(ENDPOINT_ERROR):
+        exchange.load_report = line[len(ENDPOINT_ERROR) + 1 :] or None
+        return "node"
+    return "customer"
--- a/gatebank/cli/learn.py
+++ b/gatebank/cli/learn.py
@@ -174,7 +174,7 @@
     """What is known, how old it is, from whom, and what it would weigh now."""
     import orjson
 
-    from gatebank.capture.records import harmless
+    from gatebank.capture.terminal import printable
 
     rows = known(source, keys, configuration)
     if as_json:
@@ -194,10 +194,10 @@
         line = (
             f"{told['what']:>6} {thing(item)}: {said}; {item.age:.1f} s old, by {item.by}, seen {item.seen}"
         )
-        print(harmless(line + weighs))
+        print(printable(line + weighs))
     for (kind, by, build), many in single.items():
         print(
-            harmless(
+            printable(
                 f"{kind:>6} {many} rows of the last window by {by}" + (f", build {build}" if build else "")
             )
         )
@@ -210,7 +210,7 @@
     """What one knows and the other does not, and where they differ; ages apart do not count."""
     import orjson
 
-    from gatebank.capture.records import harmless
+    from gatebank.capture.terminal import printable
     from gatebank.state_transfer.items import Sent, Took, identity
 
     tables = []
@@ -230,6 +230,6 @@
         elif one and other:
             names = [n for n in one if one[n] != other.get(n) and n not in ("age", "weight", "seen")]
             told = ", ".join(f"{n} {one[n]} and {other.get(n)}" for n in names)
-            print(harmless(f"{key}: {told}"))
+            print(printable(f"{key}: {told}"))
         else:
-            print(harmless(f"{key}: only {a if one else b}"))
+            print(printable(f"{key}: only {a if one else b}"))
--- a/gatebank/cli/output.py
+++ b/gatebank/cli/output.py
@@ -10,15 +10,18 @@
 import typer
 
 from gatebank.capture import records, writing
-from gatebank.capture.layers import FIN, RAW, RST, SYN
-from gatebank.capture.records import Filter, harmless
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.segments import FIN, LINK_RAW, RST, SYN
+from gatebank.capture.table import table_heading, table_row
+from gatebank.capture.terminal import printable
+from gatebank.capture.timestamps import utc_time
 from gatebank.cli.source import Source, refuse, told_if_ended, warn
 
 ROWS = 10_000  # of a column file at once
 MOST_CUT = 1_000_000  # exchanges that a cut may name: some 200 bytes each
 
 
-def show(source: Source, wanted: Filter, as_json: bool, parquet: Path | None) -> None:
+def show(source: Source, wanted: ExchangeFilter, as_json: bool, parquet: Path | None) -> None:
     shown = 0
     with told_if_ended(lambda: f"{shown} exchanges"):
         if parquet:
@@ -27,11 +30,11 @@
         else:
             out = sys.stdout.buffer
             if not as_json:
-                print(records.heading(), flush=True)
+                print(table_heading(), flush=True)
             for exchange in source.exchanges():
                 if not wanted(exchange):
                     continue
-                row = orjson.dumps(exchange.row()) if as_json else records.line(exchange).encode()
+                row = orjson.dumps(exchange.row()) if as_json else table_row(exchange).encode()
                 out.write(row + b"\n")
                 shown += 1
             out.flush()
@@ -41,7 +44,7 @@
         raise typer.Exit(1)
 
 
-def columns(source: Source, wanted: Filter, path: Path) -> int:
+def columns(source: Source, wanted: ExchangeFilter, path: Path) -> int:
     """The same rows as of --json, in a Parquet file."""
     try:
         import pyarrow as pa
@@ -74,7 +77,7 @@
 
 def check(source: Source, as_json: bool) -> None:
     ended: dict[str, int] = {}
-    with told_if_ended(lambda: f"{source.reading.packets.count} packets"):
+    with told_if_ended(lambda: f"{source.reading.packets.packet_count} packets"):
         for exchange in source.exchanges():
             name = f"{exchange.side}_{exchange.ended}"
             ended[name] = ended.get(name, 0) + 1
@@ -86,19 +89,19 @@
         else:
             first, last = source.reading.first_at, source.reading.last_at
             if first:
-                print(f"from {records.clock(first)} to {records.clock(last)}, {(last - first) / 1e9:.3f} s")
+                print(f"from {utc_time(first)} to {utc_time(last)}, {(last - first) / 1e9:.3f} s")
             for name, value in counts.items():
                 if value and name != "spoilt":
                     print(f"{value:>14} {name.replace('_', ' ')}{'  <' if name in trouble else ''}")
             for each in source.spoilt:
-                print(f"not read to its end: {harmless(each)}")
+                print(f"not read to its end: {printable(each)}")
             if trouble:
                 print("marked <: could not be read, or was given up")
     if trouble or source.spoilt:
         raise typer.Exit(1)
 
 
-def cut(source: Source, wanted: Filter, out: Path, whole_streams: bool) -> None:
+def cut(source: Source, wanted: ExchangeFilter, out: Path, whole_streams: bool) -> None:
     source.seekable()
     if out.exists() and out.samefile(source.files[0]):
         refuse(f"{out}: a file can't be cut into itself")
@@ -110,7 +113,9 @@
                 found += 1
                 if found > MOST_CUT:
                     refuse(f"the filters choose more than {MOST_CUT} exchanges")
-                spans.setdefault(exchange.stream, []).append((exchange.first_packet, exchange.last_packet))
+                spans.setdefault(exchange.connection, []).append(
+                    (exchange.first_packet, exchange.last_packet)
+                )
         for each in spans.values():
             each.sort(reverse=True)  # the first last: taken off as the second pass goes by
         written = copy(source, out, spans, whole_streams)
@@ -133,26 +138,28 @@
     part = out.with_name(out.name + ".part")
     try:
         with part.open("wb") as file:
-            file.write(writing.section("cut"))
+            file.write(writing.section_block("cut"))
             for _, piece in source.pieces(True):
                 for packet in reading.packets.feed(piece or b""):
-                    stream = reading.packet(packet)
-                    reading.dialogues.found.clear()
-                    if stream is None or stream.serial not in spans:
+                    connection = reading.add_packet(packet)
+                    reading.exchanges.reported.clear()
+                    if connection is None or connection.number not in spans:
                         continue
                     # How a connection begins and ends is part of what its exchanges mean.
                     frame = reading.segment and reading.segment.flags & (SYN | FIN | RST)
-                    if not (whole or frame or wanted_now(spans[stream.serial], reading.packets.count)):
+                    if not (
+                        whole or frame or wanted_now(spans[connection.number], reading.packets.packet_count)
+                    ):
                         continue
                     place = links.get((packet.link, packet.side))
                     if place is None:
                         place = links[packet.link, packet.side] = len(links)
                         name = {"customer": "customers", "node": "nodes"}.get(packet.side or "", "")
-                        file.write(writing.interface(name, packet.link))
-                    file.write(writing.packet(place, packet.at, packet.data, packet.length))
+                        file.write(writing.interface_block(name, packet.link))
+                    file.write(writing.packet_block(place, packet.at, packet.data, packet.length))
                     written += 1
             if not links:
-                file.write(writing.interface("", RAW))
+                file.write(writing.interface_block("", LINK_RAW))
         part.replace(out)
     except OSError as trouble:
         refuse(f"{out}: {trouble.strerror or trouble}")
@@ -161,23 +168,23 @@
     return written
 
 
-def compare(a: Source, b: Source, wanted: Filter, as_json: bool) -> None:
-    from gatebank.capture.compare import Comparison, quantiles
+def compare(a: Source, b: Source, wanted: ExchangeFilter, as_json: bool) -> None:
+    from gatebank.capture.compare import Comparison, percentiles
 
     found = Comparison()
     with told_if_ended(lambda: f"{found.matched} matched"):
-        for source, take in ((a, found.a), (b, found.b)):
+        for source, take in ((a, found.add_a), (b, found.add_b)):
             for exchange in source.exchanges():
-                if wanted(exchange) and exchange.asked_whole:
+                if wanted(exchange) and exchange.command_is_complete:
                     take(exchange)
         counts = {"matched": found.matched, "only_a": found.only_a, "only_b": found.only_b}
         counts["otherwise"] = found.changes.total()
         times = {
-            "a": quantiles(found.all_a), "b": quantiles(found.all_b),
-            "slower": quantiles(found.slower), "faster": quantiles(found.faster),
+            "a": percentiles(found.latency_a), "b": percentiles(found.latency_b),
+            "slower": percentiles(found.slower), "faster": percentiles(found.faster),
         }  # fmt: skip
         if as_json:
-            rows = [dict(zip(("workload", "key", "a", "b"), each, strict=True)) for each in found.otherwise]
+            rows = [dict(zip(("workload", "key", "a", "b"), each, strict=True)) for each in found.examples]
             changes = [{"a": x, "b": y, "count": n} for (x, y), n in found.changes.items()]
             told = counts | {"changes": changes, "examples": rows, "ms": times}
             sys.stdout.buffer.write(orjson.dumps(told) + b"\n")
@@ -186,8 +193,8 @@
                 print(f"{value:>10} {name.replace('_', ' ')}")
             for (x, y), number in found.changes.most_common():
                 print(f"{number:>10} {x} became {y}")
-            for workload, key, x, y in found.otherwise[:20]:
-                print(f"{'':>10} {harmless(workload, 20)} {harmless(key, 30)}: {x}, then {y}")
+            for workload, key, x, y in found.examples[:20]:
+                print(f"{'':>10} {printable(workload, 20)} {printable(key, 30)}: {x}, then {y}")
             for name, told in times.items():
                 said = " ".join(f"{quantile} {value:.3f}" for quantile, value in told.items())
                 print(f"{name:>10} ms: {said or 'none'}")
--- a/gatebank/cli/replay.py
+++ b/gatebank/cli/replay.py
@@ -16,8 +16,12 @@
 import typer
 import uvloop
 
-from gatebank.capture.records import Exchange, Filter, clock, harmless
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.records import Exchange
+from gatebank.capture.terminal import printable
+from gatebank.capture.timestamps import utc_time
 from gatebank.cli.source import INTERRUPTED, Source, refuse, warn
+from gatebank.events import RetrySafety
 from gatebank.operator_config import operators_file as operators
 from gatebank.proxy import log
 from gatebank.proxy.configuration import (
@@ -67,7 +71,7 @@
     customers: int = 0
 
 
-def replay(source: Source, wanted: Filter, way: Way, as_json: bool) -> None:
+def replay(source: Source, wanted: ExchangeFilter, way: Way, as_json: bool) -> None:
     log.begin("warning")
     source.seekable()
     if (way.to is None) == (way.inside is None):
@@ -107,7 +111,7 @@
     tell(told, as_json, ledger is not None)
 
 
-def survey(source: Source, wanted: Filter) -> Survey:
+def survey(source: Source, wanted: ExchangeFilter) -> Survey:
     """The whole capture once: which servers it shows in service, and what is chosen."""
     found = Survey(set())
     try:
@@ -116,7 +120,7 @@
                 found.live.add(exchange.server)
             if wanted(exchange):
                 found.exchanges += 1
-                found.effects += exchange.effects != "rerunnable"
+                found.effects += exchange.retry_safety is not RetrySafety.IDEMPOTENT
                 found.customers += exchange.side == "customer"
     except KeyboardInterrupt:
         warn("interrupted before anything was sent")
@@ -129,7 +133,7 @@
 class Reader(threading.Thread):
     """The second reading, ahead of what is due, in the order of asking."""
 
-    def __init__(self, source: Source, wanted: Filter, side: str | None) -> None:
+    def __init__(self, source: Source, wanted: ExchangeFilter, side: str | None) -> None:
         super().__init__(name="reader", daemon=True)
         self.source, self.wanted, self.side = source, wanted, side
         self.queue: Queue[Exchange | None] = Queue(AHEAD)
@@ -169,7 +173,7 @@
 
 async def play(
     source: Source,
-    wanted: Filter,
+    wanted: ExchangeFilter,
     side: str | None,
     way: Way,
     guard: Guard,
@@ -241,7 +245,7 @@
             said = " ".join(f"{quantile} {value:.3f}" for quantile, value in told[name].items())
             print(f"{name.removesuffix('_ms'):>10} ms: {said or 'none'}")
         for each in told["listed"][:LISTED]:
-            row = " ".join(harmless(each[k], 40) for k in ("effects", "workload", "key", "id"))
+            row = " ".join(printable(each[k], 40) for k in ("effects", "workload", "key", "id"))
             print(f"{each['what']} ({each['why'].replace('_', ' ')}): {row}")
         if len(told["listed"]) > LISTED:
             print(f"and {len(told['listed']) - LISTED} more; --json lists them")
@@ -279,4 +283,4 @@
     for name, number in sorted(counts.items()):
         print(f"{number:>10} {name.replace('_', ' ')}")
     for entry in unsure[:LISTED]:
-        print(f"unsure since {clock(entry.at)}: {entry.name.hex()}")
+        print(f"unsure since {utc_time(entry.at)}: {entry.name.hex()}")
--- a/gatebank/cli/source.py
+++ b/gatebank/cli/source.py
@@ -11,10 +11,12 @@
 
 import typer
 
-from gatebank.capture.bounds import ReadingBounds
-from gatebank.capture.packets import Packets
-from gatebank.capture.reading import Reading
-from gatebank.capture.records import ENDINGS, SIDES, Exchange, Filter, harmless, moment
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.limits import ReadingLimits
+from gatebank.capture.reading import CaptureReader
+from gatebank.capture.records import ENDINGS, SIDES, Exchange
+from gatebank.capture.terminal import printable
+from gatebank.capture.timestamps import parse_time
 
 PIECE = 1 << 18  # bytes read at once: larger ones were no faster
 INTERRUPTED = 130
@@ -22,16 +24,18 @@
 
 def refuse(why: object) -> NoReturn:
     """What can't be done as asked: one line, status 2."""
-    typer.echo(f"gatebank: {harmless(why)}", err=True)
+    typer.echo(f"gatebank: {printable(why)}", err=True)
     raise typer.Exit(2)
 
 
 def warn(why: object) -> None:
-    typer.echo(f"gatebank: {harmless(why)}", err=True)
+    typer.echo(f"gatebank: {printable(why)}", err=True)
 
 
-def bounds(streams: int, gap: int, idle: float, message: int) -> ReadingBounds:
-    return ReadingBounds(streams=streams, gap=gap, idle=idle, message=message)
+def bounds(streams: int, gap: int, idle: float, message: int) -> ReadingLimits:
+    return ReadingLimits(
+        max_connections=streams, max_gap_bytes=gap, idle_timeout=idle, max_message_bytes=message
+    )
 
 
 def chosen(
@@ -44,7 +48,7 @@
     ended: list[str] | None,
     side: list[str] | None,
     port: list[int] | None,
-) -> Filter:
+) -> ExchangeFilter:
     """The filter that the options ask for."""
     for name, told, known in (("--ended", ended, ENDINGS), ("--side", side, SIDES)):
         if wrong := set(told or ()) - set(known):
@@ -54,11 +58,11 @@
     times = []
     for name, told in (("--from", begin), ("its end", end)):
         try:
-            times.append(None if told is None else moment(told))
+            times.append(None if told is None else parse_time(told))
         except ValueError as trouble:
             refuse(f"{name}: {trouble}")
     sets = [frozenset(told) if told else None for told in (workload, customer, key, id_, ended, side)]
-    return Filter(*times, *sets, frozenset(port) if port else None)
+    return ExchangeFilter(*times, *sets, frozenset(port) if port else None)
 
 
 class Source:
@@ -67,17 +71,17 @@
     def __init__(
         self,
         files: list[Path],
-        limits: ReadingBounds | None = None,
+        limits: ReadingLimits | None = None,
         nodes: list[str] | None = None,
         marshals: list[str] | None = None,
     ) -> None:
-        self.files, self.limits = files, limits or ReadingBounds()
+        self.files, self.limits = files, limits or ReadingLimits()
         self.nodes, self.marshals = nodes or [], marshals or []
         self.reading = self.anew()
         self.spoilt: list[str] = []  # a line for each file that could not be read to its end
 
-    def anew(self) -> Reading:
-        return Reading(self.limits, nodes=self.nodes, marshals=self.marshals)
+    def anew(self) -> CaptureReader:
+        return CaptureReader(self.limits, endpoints=self.nodes, instances=self.marshals)
 
     def label(self) -> str:
         return ", ".join(map(str, self.files))
@@ -127,14 +131,12 @@
         """A file is read: the next one's packets go on where it stopped."""
         packets = self.reading.packets
         packets.end()
-        if packets.spoilt:
-            if not packets.count and len(self.files) == 1:
-                refuse(f"{path}: {packets.spoilt}")
-            self.spoilt.append(f"{path}: {packets.spoilt}")
+        if packets.error is not None:
+            if not packets.packet_count and len(self.files) == 1:
+                refuse(f"{path}: {packets.error}")
+            self.spoilt.append(f"{path}: {packets.error}")
         if path != self.files[-1]:
-            fresh = Packets(self.limits)
-            fresh.count, fresh.read, fresh.unknown = packets.count, packets.read, packets.unknown
-            self.reading.packets = fresh
+            self.reading.next_file()
 
 
 @contextlib.contextmanager
--- a/gatebank/recording/packet_writer.py
+++ b/gatebank/recording/packet_writer.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from gatebank.capture.layers import ACK
-from gatebank.capture.writing import Conversation, interface, packet, section
+from gatebank.capture.segments import ACK
+from gatebank.capture.writing import Conversation, interface_block, packet_block, section_block
 from gatebank.proxy import resp
 
 INTERFACES = {"customer": 0, "node": 1}
@@ -117,8 +117,8 @@
     def put(self, out: list[bytes], at: int, packets: list[bytes], comment: str = "") -> None:
         """``comment`` stands on the last."""
         for each in packets[:-1]:
-            out.append(packet(self.interface, at, each))
-        out.append(packet(self.interface, at, packets[-1], None, comment))
+            out.append(packet_block(self.interface, at, each))
+        out.append(packet_block(self.interface, at, packets[-1], None, comment))
 
     def opened(self, out: list[bytes], at: int) -> None:
         self.put(out, at, self.talk.open())
@@ -130,19 +130,19 @@
             if self.ways[side].lost and not lost:
                 self.note(out, side, at, LEFT_OUT)
         if data:
-            self.put(out, at, self.talk.say(side, data), comment)
+            self.put(out, at, self.talk.send(side, data), comment)
         elif comment:
             self.note(out, side, at, comment)
 
     def note(self, out: list[bytes], side: int, at: int, comment: str) -> None:
         """A word of ours, on an acknowledgement that holds nothing."""
-        self.put(out, at, [self.talk.raw(side, ACK)], comment)
+        self.put(out, at, [self.talk.segment(side, ACK)], comment)
 
     def missed(self, out: list[bytes], lost: tuple[int, int], at: int) -> None:
         """So many bytes of each direction were not recorded: the numbers go on as if they had been."""
         for side, size in enumerate(lost):
             if size:
-                self.talk.numbers[side] = (self.talk.numbers[side] + size) & 0xFFFFFFFF
+                self.talk.sequences[side] = (self.talk.sequences[side] + size) & 0xFFFFFFFF
                 if self.ways:
                     self.ways[side].lost, self.ways[side].rest = True, b""
                 self.note(out, side, at, f"{size} bytes before this were not recorded")
@@ -153,4 +153,4 @@
 
 def head(name: str) -> bytes:
     """How a file begins: one interface for each side, by whose name reading knows it."""
-    return section(f"marshal {name}") + interface("customers") + interface("nodes")
+    return section_block(f"marshal {name}") + interface_block("customers") + interface_block("nodes")
--- a/gatebank/replay/guard.py
+++ b/gatebank/replay/guard.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from gatebank.capture.records import Exchange
+from gatebank.events import RetrySafety
 from gatebank.proxy.configuration import Address, address
 from gatebank.replay.identity import names
 from gatebank.replay.section import Target
@@ -68,9 +69,9 @@
             )
 
     def verdict(self, exchange: Exchange, book: Book) -> Verdict:
-        if not exchange.asked_whole or len(exchange.words) < 4:
+        if not exchange.command_is_complete or len(exchange.arguments) < 4:
             return Verdict("not_whole")
-        if exchange.effects == "rerunnable":
+        if exchange.retry_safety is RetrySafety.IDEMPOTENT:
             return Verdict()
         if not self.target.rehearsal:
             return Verdict("no_rehearsal_target")
--- a/gatebank/replay/identity.py
+++ b/gatebank/replay/identity.py
@@ -21,7 +21,7 @@
     >>> from gatebank.capture.records import Exchange
     >>> def said(*words):
     ...     one = Exchange(1, "c", "s", "", list(words), True, 1, 1)
-    ...     one.read_names()
+    ...     one.parse_parameters()
     ...     return names(one)
     >>> customers = said(b"Q.DO", b"k", b"i", b"c=sign,t=all,d=500,k=7", b"body")
     >>> nodes = said(b"Q.DO", b"k", b"i", b"c=sign,t=all,d=480,k=7", b"body")
@@ -30,10 +30,12 @@
     >>> customers == nodes, customers[0] == hidden[0], customers[1] == later[1], len(set(customers + later))
     (True, True, True, 3)
     """
-    words = exchange.words
-    found = [named(b"invocation", (exchange.workload or "").encode(), words[1], words[2])]
-    if exchange.ticket:
-        found.append(named(b"ticket", (exchange.workload or "").encode(), exchange.ticket.encode()))
+    words = exchange.arguments
+    found = [named(b"invocation", (exchange.request_class or "").encode(), words[1], words[2])]
+    if exchange.idempotency_key:
+        found.append(
+            named(b"ticket", (exchange.request_class or "").encode(), exchange.idempotency_key.encode())
+        )
     return found
 
 
@@ -53,7 +55,7 @@
 
 def command(exchange: Exchange, id_: bytes, ticket: bytes | None) -> list[bytes]:
     """The command as it is sent anew: its own id, and the ticket that may be known where it goes."""
-    words = list(exchange.words)
+    words = list(exchange.arguments)
     words[2] = id_
     if ticket is not None:
         pairs = [b"k=" + ticket if each.startswith(b"k=") else each for each in words[3].split(b",")]
--- a/gatebank/replay/player.py
+++ b/gatebank/replay/player.py
@@ -48,7 +48,7 @@
 
     @property
     def limit(self) -> float:
-        told = self.exchange.time_limit_ms
+        told = self.exchange.timeout_ms
         return UNTOLD if not told else min(UNTOLD, told / 1000)
 
 
@@ -154,8 +154,8 @@
             self.report.not_offered(exchange, "rate")
             return
         ticket = None
-        if verdict.names and exchange.ticket and not self.guard.target.keeps_tickets:
-            ticket = new_ticket(self.ledger.name, exchange.ticket)
+        if verdict.names and exchange.idempotency_key and not self.guard.target.keeps_tickets:
+            ticket = new_ticket(self.ledger.name, exchange.idempotency_key)
         play = Play(exchange, due, command(exchange, self.id(), ticket), verdict.names)
         if verdict.names:
             play.entered = self.ledger.enter(verdict.names)
--- a/gatebank/replay/report.py
+++ b/gatebank/replay/report.py
@@ -8,8 +8,9 @@
 from collections import Counter
 from typing import Any
 
-from gatebank.capture.compare import LONGEST, latencies, quantiles
+from gatebank.capture.compare import MAX_LATENCY_US, latency_histogram, percentiles
 from gatebank.capture.records import Exchange
+from gatebank.events import RetrySafety
 
 ENDS = ("read", "offered", "satisfied", "rejected", "broken_off", "no_answer", "unsure", "never_sent")
 MOST_LISTED = 10_000  # withheld or unsure invocations that are named, not only counted
@@ -21,7 +22,7 @@
         self.withheld: Counter[str] = Counter()
         self.by_workload: Counter[tuple[str, str]] = Counter()
         self.listed: list[dict[str, Any]] = []  # at most MOST_LISTED
-        self.latency, self.lateness = latencies(), latencies()
+        self.latency, self.lateness = latency_histogram(), latency_histogram()
 
     def read(self, exchange: Exchange) -> None:
         self.counts["read"] += 1
@@ -29,18 +30,18 @@
     def hold_back(self, exchange: Exchange, why: str) -> None:
         self.counts["withheld"] += 1
         self.withheld[why] += 1
-        if exchange.effects != "rerunnable":
+        if exchange.retry_safety is not RetrySafety.IDEMPOTENT:
             self.list("withheld", why, exchange)
 
     def list(self, what: str, why: str, exchange: Exchange) -> None:
         if len(self.listed) < MOST_LISTED:
-            names = {"workload": exchange.workload, "key": exchange.key, "id": exchange.id}
-            self.listed.append({"what": what, "why": why, "effects": exchange.effects} | names)
+            names = {"workload": exchange.request_class, "key": exchange.key, "id": exchange.id}
+            self.listed.append({"what": what, "why": why, "effects": exchange.retry_safety.value} | names)
 
     def not_offered(self, exchange: Exchange, why: str) -> None:
         self.counts["not_offered"] += 1
         self.counts[f"not_offered_{why}"] += 1
-        if exchange.effects != "rerunnable":
+        if exchange.retry_safety is not RetrySafety.IDEMPOTENT:
             self.list("not offered", why, exchange)
 
     def sent(self, due: float, now: float) -> None:
@@ -50,7 +51,7 @@
     def ended(self, exchange: Exchange, how: str, due: float, now: float) -> None:
         """``how``: an ending, or `unsure` where it was sent whole and no answer came."""
         self.counts[how] += 1
-        self.by_workload[exchange.workload or "?", how] += 1
+        self.by_workload[exchange.request_class or "?", how] += 1
         if how in ("satisfied", "rejected", "broken_off"):
             self.latency.record_value(us(now - due))
         if how == "unsure":
@@ -73,12 +74,12 @@
                 if name.startswith("not_offered_")
             },
             "by_workload": rows,
-            "latency_ms": quantiles(self.latency),
-            "late_ms": quantiles(self.lateness),
+            "latency_ms": percentiles(self.latency),
+            "late_ms": percentiles(self.lateness),
             "missing": self.balance(),
             "listed": self.listed,
         }
 
 
 def us(seconds: float) -> int:
-    return min(LONGEST, max(1, int(seconds * 1e6)))
+    return min(MAX_LATENCY_US, max(1, int(seconds * 1e6)))
--- a/gatebank/replay/schedule.py
+++ b/gatebank/replay/schedule.py
@@ -47,7 +47,7 @@
 
 
 def size(exchange: Exchange) -> int:
-    return ROW + sum(map(len, exchange.words))
+    return ROW + sum(map(len, exchange.arguments))
 
 
 class Pace:
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -150,13 +150,13 @@
         return idle is not None
 
     def send(self, play: Play) -> None:
-        line = self.pool() if self.pooled else self.lines.get(play.exchange.stream)
+        line = self.pool() if self.pooled else self.lines.get(play.exchange.connection)
         if line is None:
             if len(self.lines) >= self.most and not self.room():
                 self.player.ended(play, "never_sent")
                 return
             self.serial += 1
-            key = self.serial if self.pooled else play.exchange.stream
+            key = self.serial if self.pooled else play.exchange.connection
             try:
                 line = self.lines[key] = Line(self, key)
             except OSError:  # no descriptor
