--- a/gatebank/capture/compression.py
+++ b/gatebank/capture/compression.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import zlib
 from collections.abc import Iterator
 from typing import Any, Protocol
@@ -81,8 +82,7 @@
     """
 
     def __init__(self) -> None:
-        import zstandard
-
+        zstandard = importlib.import_module("zstandard")  # optional: only where such a file is read
         self._zstd_error: Any = zstandard.ZstdError
         self._context = zstandard.ZstdDecompressor(max_window_size=MAX_ZSTD_WINDOW)
         self._frame: Any = None  # None between two frames
--- a/gatebank/capture/connections.py
+++ b/gatebank/capture/connections.py
@@ -65,6 +65,14 @@
             return DirectionState.COMPLETE
         return DirectionState.FIN_SEEN
 
+    def learn_syn(self, sequence: int) -> int:
+        """Enters the number of a SYN; returns that of the first byte behind it."""
+        first = (sequence + 1) & SEQUENCE_MASK
+        if self.next_sequence == UNKNOWN:
+            self.syn_sequence = sequence
+            self.next_sequence = first
+        return first
+
     def distance(self, sequence: int) -> int:
         """Bytes from the next byte to deliver on to that number, modulo 2^32."""
         return (sequence - self.next_sequence) & SEQUENCE_MASK
--- a/gatebank/capture/pairing.py
+++ b/gatebank/capture/pairing.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import deque
-from enum import Enum, auto
+from enum import Enum
 
 from gatebank.capture.records import Exchange
 from gatebank.capture.responses import PairedResponse, record_response
@@ -29,16 +29,21 @@
 
 
 class PairingState(Enum):
-    """Whether the order of responses tells which command each belongs to."""
+    """Whether the order of responses tells which command each belongs to.
 
-    IN_SYNC = auto()  # each response belongs to the oldest pending command
-    ON_PROBATION = auto()  # so it is if no response is left over; pairs are held until that is known
-    OUT_OF_SYNC = auto()  # behind those to pending commands, responses to unseen ones may come
-    OUT_OF_SYNC_ON_PROBATION = auto()  # the same, with held pairs from before whose probation is not over
+    Attributes:
+        is_in_sync: Commands are paired with responses by order.
+        is_on_probation: There may be pairs that are held until no response is left over.
+    """
 
+    def __init__(self, is_in_sync: bool, is_on_probation: bool) -> None:
+        self.is_in_sync = is_in_sync
+        self.is_on_probation = is_on_probation
 
-IN_SYNC_STATES = (PairingState.IN_SYNC, PairingState.ON_PROBATION)
-PROBATION_STATES = (PairingState.ON_PROBATION, PairingState.OUT_OF_SYNC_ON_PROBATION)
+    IN_SYNC = (True, False)
+    ON_PROBATION = (True, True)
+    OUT_OF_SYNC = (False, False)  # behind those to pending commands, responses to unseen ones may come
+    OUT_OF_SYNC_ON_PROBATION = (False, True)
 
 
 class Pairing:
@@ -69,16 +74,6 @@
         self._gap_in_responses = False
         self._held: list[PairedResponse] = []  # on probation
 
-    @property
-    def is_in_sync(self) -> bool:
-        """Whether commands are paired."""
-        return self.state in IN_SYNC_STATES
-
-    @property
-    def is_on_probation(self) -> bool:
-        """Whether there may be pairs that are held until they are proved."""
-        return self.state in PROBATION_STATES
-
     @property
     def pending_count(self) -> int:
         """Commands without their response."""
@@ -95,9 +90,9 @@
         if self._pending:
             self._is_pipelined = True
             return False
-        if self.is_on_probation:
+        if self.state.is_on_probation:
             self._settle()
-        if self.is_in_sync or (self._is_pipelined and at <= self._stale_until):
+        if self.state.is_in_sync or (self._is_pipelined and at <= self._stale_until):
             return False
         self.state = PairingState.ON_PROBATION
         self._gap_in_commands = False
@@ -106,12 +101,12 @@
 
     def add_other_command(self) -> None:
         """A command that is no request: its response takes a place in the order."""
-        if self.is_in_sync:
+        if self.state.is_in_sync:
             self._pending.append(None)
 
     def add_request(self, exchange: Exchange, at: int) -> None:
         """A request; it is reported at once if its response could not be told from others."""
-        if not self.is_in_sync:
+        if not self.state.is_in_sync:
             self._expect_stale(at, exchange)
             self._collector.report(exchange)
             return
@@ -124,13 +119,13 @@
         """The next response, as of packet number ``packet``."""
         if not self._pending:
             self._count_unexpected()
-            if self.is_on_probation:  # a held one belonged to an older command, then
+            if self.state.is_on_probation:  # a held one belonged to an older command, then
                 self._reject_held()
             return
         exchange = self._pending.popleft()
         if exchange is None:
             return
-        if not self.is_on_probation or exchange.is_reported:
+        if not self.state.is_on_probation or exchange.is_reported:
             self._complete(PairedResponse(exchange, reply, at, packet))
             return
         words = [word if word is None else memoryview(bytes(word)) for word in reply.words]
@@ -139,7 +134,7 @@
             self._reject_held()
 
     def _count_unexpected(self) -> None:
-        if self.is_in_sync:
+        if self.state.is_in_sync:
             self._collector.counts.unasked += 1
         else:
             self._collector.counts.answers_not_paired += 1
@@ -159,14 +154,14 @@
     def on_command_gap(self, at: int) -> None:
         """Bytes of commands are missing: a command in them is answered behind those that are pending."""
         self._gap_in_commands = True
-        if self.is_on_probation and self._pending:
+        if self.state.is_on_probation and self._pending:
             self._reject_held(is_pipelined=False)
         self._leave_sync()
         self._stale_until = max(self._stale_until, at + DEFAULT_TIMEOUT_NS)
 
     def on_unreadable_command(self, at: int) -> None:
         """How a command is answered is not known: nothing behind it is paired by order alone."""
-        if self.is_on_probation:
+        if self.state.is_on_probation:
             self._reject_held()
         self._leave_sync()
         self._stale_until = max(self._stale_until, at + DEFAULT_TIMEOUT_NS)
@@ -178,7 +173,7 @@
 
     def lose_pending(self, at: int) -> None:
         """Reports what is pending as not whole; order alone pairs nothing any more."""
-        if self.is_on_probation and self._pending:
+        if self.state.is_on_probation and self._pending:
             self._reject_held(is_pipelined=False)
         self._leave_sync()
         for exchange in self._pending:
@@ -190,7 +185,7 @@
         self._pending.clear()
 
     def _leave_sync(self) -> None:
-        if self.is_on_probation:
+        if self.state.is_on_probation:
             self.state = PairingState.OUT_OF_SYNC_ON_PROBATION
         else:
             self.state = PairingState.OUT_OF_SYNC
@@ -215,7 +210,7 @@
 
     def _accept_held(self) -> None:
         """The client had as many responses as it had asked for, and asks on: the held pairs are right."""
-        self.state = PairingState.IN_SYNC if self.is_in_sync else PairingState.OUT_OF_SYNC
+        self.state = PairingState.IN_SYNC if self.state.is_in_sync else PairingState.OUT_OF_SYNC
         held = self._held
         self._held = []
         for paired in held:
@@ -246,7 +241,7 @@
             is_seen_on_wire: The capture shows the connection's end, so what is pending has no response.
             has_partial_response: A response had begun.
         """
-        if self.is_on_probation:
+        if self.state.is_on_probation:
             last = max((paired.at for paired in self._held), default=at)
             # A response that was left over would have come by now.
             is_quiet = is_seen_on_wire or at - last >= RESPONSE_SLACK_NS
@@ -254,7 +249,7 @@
                 self._settle()
             else:
                 self._reject_held()
-        is_whole = is_seen_on_wire and self.is_in_sync and not has_partial_response
+        is_whole = is_seen_on_wire and self.state.is_in_sync and not has_partial_response
         for exchange in self._pending:
             if exchange is not None and not exchange.is_reported:
                 exchange.whole = is_whole
--- a/gatebank/capture/reassembly.py
+++ b/gatebank/capture/reassembly.py
@@ -13,14 +13,13 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from gatebank.capture.connections import (
     HALF_SEQUENCE_SPACE,
     SEQUENCE_MASK,
     UNKNOWN,
     Connection,
-    Direction,
     DirectionState,
     EndReason,
     WaitingSegment,
@@ -37,13 +36,9 @@
 MAX_AHEAD_BYTES = 1 << 24
 
 
-class ConnectionKey(NamedTuple):
-    """The addresses and ports of a connection, the lower end first, so that both directions have the same."""
-
-    low_host: int | bytes
-    low_port: int
-    high_host: int | bytes
-    high_port: int
+# The addresses and ports of a connection, the lower end first, so that both directions have the same. A plain
+# tuple: one is made for each packet, and a named one takes three times as long.
+ConnectionKey = tuple[int | bytes, int, int | bytes, int]
 
 
 class ConnectionListener(Protocol):
@@ -103,6 +98,7 @@
         self.held_bytes = 0
         self._limits = limits
         self._listener = listener
+        self._max_clock_step_ns = limits.max_clock_step * NS_PER_SECOND
         # The least recently active first. Each is removed when it ended long ago, when idle for too long, or
         # to make room.
         self._connections: OrderedDict[ConnectionKey, Connection] = OrderedDict()
@@ -128,10 +124,14 @@
         Returns:
             The connection that it belongs to; None if that is not followed.
         """
-        self._move_clock(at)
-        key = _connection_key(segment)
+        source, source_port, target, target_port = segment[:4]
+        key = (source, source_port, target, target_port)
+        if (source, source_port) > (target, target_port):
+            key = (target, target_port, source, source_port)
+        if at > self._now and (not self._now or at - self._now < self._max_clock_step_ns):
+            self._now = at
         connection = self._connections.get(key)
-        if connection is not None and self._opens_another(connection, segment):
+        if connection is not None and segment.flags & SYN and self._opens_another(connection, segment):
             self._end(connection, at, EndReason.PORTS_REUSED)
             del self._connections[key]
             connection = None
@@ -162,16 +162,10 @@
 
     # Opening and removing connections.
 
-    def _move_clock(self, at: int) -> None:
-        if at <= self._now:
-            return
-        if not self._now or at - self._now < self._limits.max_clock_step * NS_PER_SECOND:
-            self._now = at
-
     @staticmethod
     def _opens_another(connection: Connection, segment: Segment) -> bool:
         """Whether this is the SYN of another connection with the same ports, and not the same sent again."""
-        if not segment.flags & SYN or segment.flags & ACK:
+        if segment.flags & ACK:
             return False
         direction = connection.directions[connection.side_of(segment)]
         if connection.end_reason is not None or direction.syn_sequence != UNKNOWN:
@@ -232,7 +226,13 @@
         direction = connection.directions[side]
         other = connection.directions[1 - side]
         flags = segment.flags
-        sequence = _learn_sequences(direction, other, segment)
+        sequence = segment.sequence
+        if flags & SYN:
+            sequence = direction.learn_syn(sequence)
+        if flags & ACK:
+            other.acked_sequence = segment.ack
+            if other.next_sequence == UNKNOWN:
+                other.next_sequence = segment.ack  # the receiver has all before this: it is never sent again
         if flags & RST:
             self._end(connection, at, EndReason.RESET)
             return
@@ -254,8 +254,8 @@
         """Delivers the payload if it is the next in order; otherwise it waits."""
         ack = segment.ack if segment.flags & ACK else UNKNOWN
         if not connection.waiting and sequence == connection.directions[side].next_sequence:
-            unseen = connection.directions[1 - side].distance(ack) if ack != UNKNOWN else 0
-            if not 0 < unseen < HALF_SEQUENCE_SPACE:
+            acknowledged_next = connection.directions[1 - side].next_sequence
+            if ack in (UNKNOWN, acknowledged_next) or _is_behind(ack, acknowledged_next):
                 self._deliver(connection, side, at, segment.payload, segment.missing)
                 return
         waiting = WaitingSegment(side, sequence, segment.payload, segment.missing, ack, at, connection.packet)
@@ -271,7 +271,8 @@
     # Delivery.
 
     def _deliver(self, connection: Connection, side: int, at: int, payload: bytes, missing: int) -> None:
-        connection.directions[side].advance(len(payload) + missing)
+        direction = connection.directions[side]
+        direction.next_sequence = (direction.next_sequence + len(payload) + missing) & SEQUENCE_MASK
         if payload:
             self._listener.on_data(connection, side, at, payload)
         if missing:
@@ -359,24 +360,6 @@
         connection.packet = packet_at_hand
 
 
-def _learn_sequences(direction: Direction, other: Direction, segment: Segment) -> int:
-    """Enters what a segment's SYN and acknowledgement show; returns the number of its first byte."""
-    sequence = segment.sequence
-    if segment.flags & SYN:
-        sequence = (sequence + 1) & SEQUENCE_MASK
-        if direction.next_sequence == UNKNOWN:
-            direction.syn_sequence = segment.sequence
-            direction.next_sequence = sequence
-    if segment.flags & ACK:
-        other.acked_sequence = segment.ack
-        if other.next_sequence == UNKNOWN:
-            other.next_sequence = segment.ack  # the receiver has all before this: it is never sent again
-    return sequence
-
-
-def _connection_key(segment: Segment) -> ConnectionKey:
-    source, source_port, target, target_port = segment[:4]
-    # Both addresses of a segment are of one kind, so they can be compared.
-    if (source, source_port) > (target, target_port):
-        return ConnectionKey(target, target_port, source, source_port)
-    return ConnectionKey(source, source_port, target, target_port)
+def _is_behind(sequence: int, other: int) -> bool:
+    """Whether a sequence number is before another one."""
+    return (sequence - other) & SEQUENCE_MASK >= HALF_SEQUENCE_SPACE
--- a/gatebank/capture/resp2.py
+++ b/gatebank/capture/resp2.py
@@ -262,7 +262,7 @@
 
     def _read_responses(self, buffer: MessageBuffer, at: int, data: bytes) -> None:
         pairing = self._pairing
-        if not pairing.is_in_sync and not pairing.pending_count:
+        if not pairing.state.is_in_sync and not pairing.pending_count:
             self._counts.answers_not_paired += 1
             return
         inbox = resp.Inbox.over(data, self._collector.limits.max_message_bytes)
