--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -168,7 +168,8 @@
     """What the operators' file asks to be recorded; without it nothing of that is imported."""
     if operators is None:
         return None
-    from gatebank.recording.recorder import Recorder, Unrecordable
+    from gatebank.recording.errors import RecordingError
+    from gatebank.recording.recorder import Recorder
     from gatebank.recording.section import Recording
 
     if (told := operators.one(Recording)) is None:
@@ -176,7 +177,7 @@
     try:
         recorder = Recorder(told, operators.folder, posting.name)
         recorder.start()
-    except Unrecordable as trouble:
+    except RecordingError as trouble:
         raise ConfigurationError(f"{operators.path}: {trouble}") from trouble
     return recorder
 
--- /dev/null
+++ b/gatebank/recording/output.py
@@ -0,0 +1,130 @@
+"""The file that a recording is written to. A folder that can't be written to is tried again later."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from gatebank.proxy.log import say
+from gatebank.recording.packet_writer import file_header
+from gatebank.recording.rotation import FileRotation, StoredFile
+
+FIRST_RETRY = 5.0  # s before a failed folder is tried again; each time twice as long
+MAX_RETRY = 60.0  # s
+NS_PER_SECOND = 1e9
+CLOSED = -1  # instead of a descriptor
+
+
+@dataclass(slots=True)
+class RecordingCounts:
+    """Counters of a recording, by the names that the log prints: pieces of data written, and not written."""
+
+    recorded: int = 0
+    not_recorded: int = 0
+
+
+class RecordingOutput:
+    """Owns the file at hand, given back in `close`. Used by the recorder's thread alone.
+
+    Args:
+        folder: Where the files are.
+        rotation: When the next file begins, and which are removed.
+        counts: The recording's counters; this counts what was written and what could not be.
+        clock: ns of Unix time.
+
+    Attributes:
+        has_failed: The last attempt to write failed.
+        retry_at: s of the monotonic clock: until then a failed folder is not tried again.
+        size: Bytes of the file at hand.
+    """
+
+    def __init__(
+        self, folder: Path, rotation: FileRotation, counts: RecordingCounts, clock: Callable[[], int]
+    ) -> None:
+        self.has_failed = False
+        self.retry_at = 0.0
+        self.size = 0
+        self._folder = folder
+        self._rotation = rotation
+        self._counts = counts
+        self._clock = clock
+        self._descriptor = CLOSED
+        self._opened_at = 0.0  # s of the monotonic clock
+        self._next_retry = FIRST_RETRY
+
+    @property
+    def is_open(self) -> bool:
+        """Whether there is a file at hand."""
+        return self._descriptor != CLOSED
+
+    def write(self, blocks: list[bytes], count: int) -> None:
+        """Writes whole blocks, in which are ``count`` pieces of data. What can't be written is counted."""
+        now = time.monotonic()
+        if not self.is_open and now < self.retry_at:
+            self._counts.not_recorded += count
+            return
+        try:
+            if not self.is_open or self._rotation.is_full(self.size, now - self._opened_at):
+                self._begin_next_file(now)
+            self._append(b"".join(blocks))
+            self._counts.recorded += count
+            self._check_still_there()
+        except OSError as error:
+            self._counts.not_recorded += count
+            self._fail(now, error)
+
+    def close(self) -> None:
+        """Closes the file at hand."""
+        if self.is_open:
+            os.close(self._descriptor)
+        self._descriptor = CLOSED
+
+    def _append(self, data: bytes) -> None:
+        """Writes all of it, or nothing: a full disk may have taken a part, and no half block stays."""
+        written = os.write(self._descriptor, data)
+        if written < len(data):
+            os.ftruncate(self._descriptor, self.size)
+            raise _disk_full()
+        self.size += written
+
+    def _check_still_there(self) -> None:
+        if not os.fstat(self._descriptor).st_nlink:
+            raise OSError(errno.ENOENT, "the file is gone")
+
+    def _fail(self, now: float, error: OSError) -> None:
+        self.close()
+        if not self.has_failed:
+            say("recording_failed", logging.ERROR, folder=self._folder, why=error.strerror or error)
+        self.has_failed = True
+        self.retry_at = now + self._next_retry
+        self._next_retry = min(2 * self._next_retry, MAX_RETRY)
+
+    def _begin_next_file(self, now: float) -> None:
+        """Opens the next file, and removes the oldest."""
+        self.close()
+        entries = [entry for entry in os.scandir(self._folder) if entry.is_file()]
+        files = [StoredFile(entry.name, entry.stat().st_size) for entry in entries]
+        name = self._rotation.next_name((file.name for file in files), self._clock() / NS_PER_SECOND)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
+        self._descriptor = os.open(self._folder / name, flags, 0o600)
+        header = file_header(self._rotation.name)
+        self.size = os.write(self._descriptor, header)
+        self._opened_at = now
+        if self.size < len(header):
+            raise _disk_full()
+        for removed in self._rotation.to_remove([*files, StoredFile(name, self.size)], name):
+            (self._folder / removed).unlink(missing_ok=True)
+        if self.has_failed:
+            not_recorded = self._counts.not_recorded
+            say("recording", folder=self._folder, again=True, not_recorded=not_recorded)
+        self.has_failed = False
+        self._next_retry = FIRST_RETRY
+
+
+def _disk_full() -> OSError:
+    return OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
--- a/gatebank/recording/rotation.py
+++ b/gatebank/recording/rotation.py
@@ -1,4 +1,4 @@
-"""Which files of a recording stand, when one is turned over, and which go. No I/O.
+"""Which files of a recording there are, when the next one begins, and which are removed. No I/O.
 
 Names sort by time: `NAME-20261201T172338Z-000001.pcapng`; a start goes on behind the highest number there is.
 """
@@ -9,14 +9,38 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from typing import NamedTuple
 
-ENDING = ".pcapng"
-FORM = re.compile(r"(.+)-(\d{8}T\d{6}Z)-(\d{6,})" + re.escape(ENDING))
+SUFFIX = ".pcapng"
+FILE_NAME = re.compile(r"(?P<name>.+)-(\d{8}T\d{6}Z)-(?P<number>\d{6,})" + re.escape(SUFFIX))
+
+
+class StoredFile(NamedTuple):
+    """A file in the recording's folder: its name and its size in bytes."""
+
+    name: str
+    size: int
+
+
+class NumberedFile(NamedTuple):
+    """A file of this recording: its number, its name and its size in bytes."""
+
+    number: int
+    name: str
+    size: int
 
 
 @dataclass(slots=True, frozen=True)
-class Shelf:
-    """The told bounds: bytes and seconds of a file, files and bytes of all."""
+class FileRotation:
+    """The limits of a recording's files.
+
+    Attributes:
+        name: What the files' names begin with.
+        file_bytes: The next file begins once one has so many bytes.
+        file_seconds: The next file begins once one is so old.
+        keep_files: The oldest files are removed beyond this number.
+        keep_bytes: The oldest files are removed while all together have more bytes.
+    """
 
     name: str
     file_bytes: int
@@ -24,38 +48,59 @@
     keep_files: int
     keep_bytes: int
 
-    def full(self, size: int, age: float) -> bool:
-        """Is the file at hand turned over?"""
+    def is_full(self, size: int, age: float) -> bool:
+        """Whether the next file begins behind one of this size in bytes and age in seconds."""
         return size >= self.file_bytes or age >= self.file_seconds
 
-    def next(self, there: Iterable[str], at: float) -> str:
-        """
-        >>> Shelf("m", 9, 9, 9, 9).next(["m-20231114T221320Z-000007.pcapng", "x.txt", "n-x-1.pcapng"], 1.7e9)
+    def next_name(self, names: Iterable[str], at: float) -> str:
+        """The name of the next file.
+
+        Args:
+            names: All names in the folder.
+            at: s of Unix time.
+
+        >>> rotation = FileRotation("m", 9, 9, 9, 9)
+        >>> rotation.next_name(["m-20231114T221320Z-000007.pcapng", "x.txt", "n-x-1.pcapng"], 1.7e9)
         'm-20231114T221320Z-000008.pcapng'
         """
-        numbers = [int(found.group(3)) for each in there if (found := self.ours(each))]
-        when = datetime.fromtimestamp(at, UTC)
-        return f"{self.name}-{when:%Y%m%dT%H%M%SZ}-{max(numbers, default=0) + 1:06d}{ENDING}"
+        numbers = (self._number(name) for name in names)
+        last = max((number for number in numbers if number is not None), default=0)
+        time = datetime.fromtimestamp(at, UTC)
+        return f"{self.name}-{time:%Y%m%dT%H%M%SZ}-{last + 1:06d}{SUFFIX}"
 
-    def ours(self, name: str) -> re.Match[str] | None:
-        found = FORM.fullmatch(name)
-        return found if found and found.group(1) == self.name else None
+    def to_remove(self, files: Iterable[StoredFile], current: str) -> list[str]:
+        """The names of the oldest files beyond what is kept.
 
-    def gone(self, there: Iterable[tuple[str, int]], at_hand: str) -> list[str]:
-        """The oldest beyond what is kept; never the one at hand, nor what is not ours.
+        Args:
+            files: All files in the folder; those of others never count.
+            current: The file that is written to; it is never removed.
 
-        >>> files = [(f"m-20231114T221320Z-{n:06d}.pcapng", 40) for n in (1, 2, 3)] + [("notes.txt", 999)]
-        >>> Shelf("m", 9, 9, 2, 1000).gone(files, files[2][0]) == [files[0][0]]
+        >>> files = [StoredFile(f"m-20231114T221320Z-{n:06d}.pcapng", 40) for n in (1, 2, 3)]
+        >>> files.append(StoredFile("notes.txt", 999))
+        >>> FileRotation("m", 9, 9, 2, 1000).to_remove(files, files[2].name) == [files[0].name]
         True
-        >>> Shelf("m", 9, 9, 9, 80).gone(files, files[2][0]) == [files[0][0]]
+        >>> FileRotation("m", 9, 9, 9, 80).to_remove(files, files[2].name) == [files[0].name]
         True
         """
-        files = sorted((int(f.group(3)), name, size) for name, size in there if (f := self.ours(name)))
-        count, total = len(files), sum(size for _, _, size in files)
-        found = []
-        for _, name, size in files:
-            if name == at_hand or (count <= self.keep_files and total <= self.keep_bytes):
+        own_files = sorted(
+            NumberedFile(number, file.name, file.size)
+            for file in files
+            if (number := self._number(file.name)) is not None
+        )
+        count = len(own_files)
+        total = sum(file.size for file in own_files)
+        removed = []
+        for file in own_files:
+            if file.name == current or (count <= self.keep_files and total <= self.keep_bytes):
                 break
-            found.append(name)
-            count, total = count - 1, total - size
-        return found
+            removed.append(file.name)
+            count -= 1
+            total -= file.size
+        return removed
+
+    def _number(self, file_name: str) -> int | None:
+        """The number of a file of this recording; None for any other file."""
+        match = FILE_NAME.fullmatch(file_name)
+        if match is None or match["name"] != self.name:
+            return None
+        return int(match["number"])
