--- a/gatebank/cli/replay.py
+++ b/gatebank/cli/replay.py
@@ -32,11 +32,12 @@
     load_configuration,
 )
 from gatebank.replay import report
-from gatebank.replay.entries import Kind
-from gatebank.replay.guard import Guard, Refused, written
-from gatebank.replay.ledger import Ledger, Unusable
-from gatebank.replay.player import Player
-from gatebank.replay.schedule import Ordered
+from gatebank.replay.entries import EntryKind
+from gatebank.replay.errors import ReplayError
+from gatebank.replay.guard import Guard, address_text
+from gatebank.replay.ledger import Ledger
+from gatebank.replay.player import Player, PlayerOptions
+from gatebank.replay.schedule import AskingOrder
 from gatebank.replay.section import Target
 
 AHEAD = 4096  # exchanges read ahead of what is due
@@ -98,14 +99,14 @@
     side = "customer" if wanted.side is None and found.customers else None
     ledger = Ledger(way.ledger) if way.ledger else None
     try:
-        guard = Guard(targets, written(where), found.live)
+        guard = Guard(targets, address_text(where), found.live)
         if ledger:
             ledger.open()
-    except (Refused, Unusable) as trouble:
+    except ReplayError as trouble:
         refuse(trouble)
     if ledger is None and found.effects and guard.target.rehearsal:
         refuse(f"{found.effects} exclusive or ticketed invocations are chosen; they need --ledger FOLDER")
-    before = [] if ledger is None else ledger.book.unsure()
+    before = [] if ledger is None else ledger.book.unsure_entries()
     told = uvloop.run(play(source, wanted, side, way, guard, ledger, posting, where, found))
     told["left_unsure_before"] = len(before)
     tell(told, as_json, ledger is not None)
@@ -137,7 +138,7 @@
         super().__init__(name="reader", daemon=True)
         self.source, self.wanted, self.side = source, wanted, side
         self.queue: Queue[Exchange | None] = Queue(AHEAD)
-        self.order = Ordered(int(HORIZON * 1e9), HELD)
+        self.order = AskingOrder(int(HORIZON * 1e9), HELD)
         self.stopping, self.trouble = False, ""
         self.other_side = self.unasked = 0
 
@@ -151,7 +152,7 @@
                 elif exchange.asked_at is None:
                     self.unasked += 1
                 else:
-                    for each in self.order.put(exchange, self.source.reading.last_at):
+                    for each in self.order.add(exchange, self.source.reading.last_at):
                         self.hand(each)
                 if self.stopping:
                     return
@@ -183,17 +184,19 @@
     found: Survey,
 ) -> dict[str, Any]:
     reader = Reader(source, wanted, side)
-    player = Player(reader.queue, guard, ledger, way.pace, way.most_in_hand, way.patient, os.urandom(16))
+    player = Player(
+        reader.queue, guard, ledger, PlayerOptions(way.pace, way.most_in_hand, way.patient, os.urandom(16))
+    )
     if posting:
-        from gatebank.replay.inside import Inside
+        from gatebank.replay.inside import InProcessTransport
 
-        player.front = front = Inside(player, posting, found.live)
-        if not await front.ready():
+        player.transport = transport = InProcessTransport(player, posting, found.live)
+        if not await transport.ready():
             player.stop("discovery tells of no node that may be sent to")
     else:
-        from gatebank.replay.sockets import Sockets
+        from gatebank.replay.sockets import SocketTransport
 
-        player.front = Sockets(player, where, way.lines == "pooled", way.most_lines)
+        player.transport = SocketTransport(player, where, way.lines == "pooled", way.most_lines)
     for number in (signal.SIGINT, signal.SIGTERM):
         player.loop.add_signal_handler(number, player.stop, "interrupted")
     sys.setswitchinterval(SWITCH)
@@ -205,13 +208,13 @@
         reader.stopping = True
         if beat:
             beat.cancel()
-        player.front.close()
+        player.transport.close()
         await asyncio.sleep(0)
         if ledger:
             await ledger.finish()
-    told = player.report.told()
+    told = player.report.summary()
     told |= {"stopped": player.stopped, "left_out_other_side": reader.other_side, "not_whole": reader.unasked}
-    told |= {"out_of_order": reader.order.late, "reader_trouble": reader.trouble}
+    told |= {"out_of_order": reader.order.late_count, "reader_trouble": reader.trouble}
     told["ledger_trouble"] = str(ledger.broken or "") if ledger else ""
     told["ledger_syncs"] = ledger.syncs if ledger else 0
     return told
@@ -266,12 +269,12 @@
         refuse(f"{folder}: no ledger is there")
     try:
         ledger.open()
-    except Unusable as trouble:
+    except ReplayError as trouble:
         refuse(trouble)
-    rows, unsure = ledger.book.rows.values(), ledger.book.unsure()
+    rows, unsure = ledger.book.entries.values(), ledger.book.unsure_entries()
     counts: dict[str, int] = {}
     for entry in rows:
-        name = "unsure" if entry.kind is not Kind.ANSWERED else entry.ending
+        name = "unsure" if entry.kind is not EntryKind.ANSWERED else entry.ending
         counts[name] = counts.get(name, 0) + 1
     ledger.close()
     if as_json:
--- a/gatebank/recording/recorder.py
+++ b/gatebank/recording/recorder.py
@@ -32,6 +32,7 @@
 EVENT_OVERHEAD = 200  # bytes that a queued event takes besides its data
 STOP_TIMEOUT = 2.0  # s for what is queued when the service ends
 MIN_KEY_BYTES = 16  # of a key file
+NOTHING_MISSING = [0, 0]  # bytes of each direction
 OTHERS_MODE = 0o077  # bits of a file's mode that let others in
 
 
@@ -207,18 +208,18 @@
         An end is always queued: by it the thread forgets the connection.
         """
         size = len(data) + len(comment) + EVENT_OVERHEAD
-        if self.queued_bytes + size > self._max_queued_bytes and not kind.is_end:
+        if self._bytes_put - self._bytes_taken + size > self._max_queued_bytes and not kind.is_end:
             if kind is EventKind.DATA:
                 connection.missing[side] += len(data)
                 self.counts.not_recorded += 1
             return
         missing = None
-        if any(connection.missing):
+        if connection.missing != NOTHING_MISSING:
             missing = (connection.missing[0], connection.missing[1])
             connection.missing = [0, 0]
         self._bytes_put += size
-        event = RecordedEvent(connection, kind, side, self._now(), data, comment, missing, size)
-        self._queue.append(event)
+        at = time.monotonic_ns() + self._clock_offset
+        self._queue.append(RecordedEvent(connection, kind, side, at, data, comment, missing, size))
 
     def _connection(self, side: str, read_ends: Callable[[], tuple[Any, Any]]) -> RecordedConnection | None:
         if side not in self._sides:
--- a/gatebank/replay/__init__.py
+++ b/gatebank/replay/__init__.py
@@ -1,13 +1,15 @@
-"""A recorded hour played again against a rehearsal fleet, and never a payout twice.
+"""A recorded hour played again against a rehearsal fleet, and never a request with an effect twice.
 
-section.py    `target(...)` in the operators' file: what may be sent where
-identity.py   what names an invocation, in whichever capture it stands; no I/O
-guard.py      may this one leave the program? no I/O
-entries.py    the ledger's form: entries, torn tails, damage; no I/O
-ledger.py     the ledger's folder: lock, syncs in groups
-schedule.py   what is due when, in order, within bounds; no I/O
-report.py     what became of each
-tools.py      reading files for all commands
-sockets.py    to a running marshal, over sockets
-inside.py     through a marshal in this process, without customers' sockets
+section.py   `target(...)` in the operators' file: what may be sent where
+identity.py  what names a request, in whichever capture it stands; no I/O
+guard.py     whether a request may leave the program; no I/O
+entries.py   the ledger's file format: entries, torn tails, damage; no I/O
+ledger.py    the ledger's folder: a lock, and syncs in groups
+schedule.py  what is due when, in order, within limits; no I/O
+requests.py  a request on its way, its outcomes, and what carries it
+player.py    the clockwork: takes requests in order, asks the guard, and sends them when due
+report.py    what became of each request; no I/O
+sockets.py   carries requests to a running instance, over its clients' protocol
+inside.py    carries requests to an instance in this process
+errors.py    why nothing is sent
 """
--- a/gatebank/replay/entries.py
+++ b/gatebank/replay/entries.py
@@ -1,4 +1,4 @@
-"""The ledger's form: a head and entries of one size, each with its number and checksum. No I/O.
+"""The ledger's file format: a header and entries of one size, each with its number and checksum. No I/O.
 
 A torn tail is what a crash leaves of entries that were never synced, so that nothing was sent for them: less
 than an entry, or one whose end was never written and reads as zeros. Anything else that does not check is
@@ -9,120 +9,187 @@
 
 import struct
 from collections.abc import Iterable
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from typing import NamedTuple
 from zlib import crc32
 
+from gatebank.replay.errors import LedgerDamagedError
+
 MAGIC = b"gatebank-ledger\x01"
-HEAD = struct.Struct("<16s16sI")  # magic, the ledger's own name, checksum
-# Mark, kind, ending, number, ns of Unix time, name, checksum of all these, end mark.
+HEADER = struct.Struct("<16s16sI")  # magic, the ledger's own name, checksum
+HEADER_CHECKSUM = slice(32, 36)  # the header's bytes with the checksum of all before them
+# Begin mark, kind, ending, number, ns of Unix time, name, checksum of all these, end mark.
 ENTRY = struct.Struct("<BBHIQ24sIB3x")
-MARK, END = 0xA6, 0x5A
-MOST = 1 << 31  # bytes: 44 million entries
+ENTRY_CHECKSUM = slice(40, 44)  # the entry's bytes with the checksum of all before them
+ENTRY_END = 44  # the place of the end mark
+ENTRY_PADDING = b"\0\0\0"
+BEGIN_MARK = 0xA6
+END_MARK = 0x5A
+MAX_LEDGER_BYTES = 1 << 31  # 44 million entries
+
 
+class EntryKind(IntEnum):
+    """What an entry says of a name; stored."""
 
-class Kind(IntEnum):
     ENTERED = 1  # about to be sent
     ANSWERED = 2
-    FREED = 3  # known never to have left: it may be sent by a later replay
-    UNSURE = 4  # its last byte was written and no answer came
+    FREED = 3  # known never to have left: a later replay may send it
+    UNSURE = 4  # its last byte was written and no response came
 
 
-ENDINGS = ("", "satisfied", "rejected", "broken_off", "none")
-STATES = {Kind.ENTERED: "unsure", Kind.ANSWERED: "replayed", Kind.UNSURE: "unsure"}
+class NameState(StrEnum):
+    """What a ledger holds of a name that may not be sent; stands in verdicts."""
 
+    REPLAYED = "replayed"
+    UNSURE = "unsure"
 
-class Damaged(Exception):
-    """The ledger can't be relied on; the text says where."""
 
+ENDINGS = ("", "satisfied", "rejected", "broken_off", "none")  # by their number in an entry
+STATES = {
+    EntryKind.ENTERED: NameState.UNSURE,
+    EntryKind.ANSWERED: NameState.REPLAYED,
+    EntryKind.UNSURE: NameState.UNSURE,
+}
 
-class Entry(NamedTuple):
-    kind: Kind
-    name: bytes
-    at: int
-    ending: str = ""
 
+class LedgerEntry(NamedTuple):
+    """An entry of a ledger.
 
-def head(name: bytes) -> bytes:
-    start = HEAD.pack(MAGIC, name, 0)[:-4]
-    return start + crc32(start).to_bytes(4, "little")
+    Attributes:
+        kind: What it says.
+        name: The request's name, 24 bytes.
+        at: ns of Unix time.
+        ending: One of ENDINGS: how an answered request ended.
+    """
 
+    kind: EntryKind
+    name: bytes
+    at: int
+    ending: str = ""
 
-def pack(number: int, entry: Entry) -> bytes:
-    first = ENTRY.pack(MARK, entry.kind, ENDINGS.index(entry.ending), number, entry.at, entry.name, 0, END)
-    return first[:40] + crc32(first[:40]).to_bytes(4, "little") + first[44:]
 
+class LedgerBook:
+    """What a ledger says, by name.
 
-class Book:
-    """What a ledger says, by name; a row for each that was ever entered and not freed."""
+    Attributes:
+        name: The ledger's own name; empty before the file has a header.
+        entries: The last entry of each name that was ever entered and not freed.
+        count: Entries in the file, also those of names that were freed: the next one's number.
+        size: Bytes of the file that count.
+        torn_bytes: Bytes to be cut off the file's end.
+    """
 
     def __init__(self, name: bytes) -> None:
         self.name = name
-        self.rows: dict[bytes, Entry] = {}
-        self.count = 0  # entries, also those taken back: the next one's number
-        self.size = HEAD.size
-        self.torn = 0  # bytes cut off at its end
-
-    def holds(self, name: bytes) -> str | None:
-        """`replayed` or `unsure`; None if it may be sent."""
-        entry = self.rows.get(name)
+        self.entries: dict[bytes, LedgerEntry] = {}
+        self.count = 0
+        self.size = HEADER.size
+        self.torn_bytes = 0
+
+    def state_of(self, name: bytes) -> NameState | None:
+        """What the ledger holds of a name; None if it may be sent."""
+        entry = self.entries.get(name)
         return STATES[entry.kind] if entry else None
 
-    def put(self, entry: Entry) -> bytes:
-        """Take it into the book; the bytes that the file gets for it."""
-        data = pack(self.count, entry)
+    def add(self, entry: LedgerEntry) -> bytes:
+        """Takes an entry into the book; the bytes that the file gets for it."""
+        data = encode_entry(self.count, entry)
         self.count += 1
         self.size += len(data)
-        if entry.kind is Kind.FREED:
-            self.rows.pop(entry.name, None)
+        if entry.kind is EntryKind.FREED:
+            self.entries.pop(entry.name, None)
         else:
-            self.rows[entry.name] = entry
+            self.entries[entry.name] = entry
         return data
 
-    def unsure(self) -> list[Entry]:
-        return [each for each in self.rows.values() if STATES[each.kind] == "unsure"]
+    def unsure_entries(self) -> list[LedgerEntry]:
+        """The entries of requests that may have run, without a response."""
+        return [entry for entry in self.entries.values() if STATES[entry.kind] is NameState.UNSURE]
+
+
+def encode_header(name: bytes) -> bytes:
+    """A ledger's first bytes; ``name``: 16 bytes."""
+    fields = HEADER.pack(MAGIC, name, 0)[: HEADER_CHECKSUM.start]
+    return fields + crc32(fields).to_bytes(4, "little")
 
 
-def read(data: bytes) -> Book:
-    """A ledger's bytes, whole; `book.torn` tells what must be cut off its end.
+def encode_entry(number: int, entry: LedgerEntry) -> bytes:
+    """An entry's bytes; ``number``: how many are before it."""
+    ending = ENDINGS.index(entry.ending)
+    data = ENTRY.pack(BEGIN_MARK, entry.kind, ending, number, entry.at, entry.name, 0, END_MARK)
+    fields = data[: ENTRY_CHECKSUM.start]
+    return fields + crc32(fields).to_bytes(4, "little") + data[ENTRY_END:]
 
-    >>> book = Book(b"n" * 16)
-    >>> whole = head(book.name) + book.put(Entry(Kind.ENTERED, b"x" * 24, 5))
-    >>> read(whole).holds(b"x" * 24), read(whole[:-1]).torn, read(whole + bytes(9)).torn
-    ('unsure', 47, 9)
-    >>> read(whole[:70] + b"!" + whole[71:])
+
+def decode_ledger(data: bytes) -> LedgerBook:
+    """What all bytes of a ledger's file say.
+
+    Returns:
+        The book; its `torn_bytes` must be cut off the file's end.
+
+    Raises:
+        LedgerDamagedError: A byte has changed.
+
+    >>> book = LedgerBook(b"n" * 16)
+    >>> whole = encode_header(book.name) + book.add(LedgerEntry(EntryKind.ENTERED, b"x" * 24, 5))
+    >>> decode_ledger(whole).state_of(b"x" * 24).value
+    'unsure'
+    >>> decode_ledger(whole[:-1]).torn_bytes, decode_ledger(whole + bytes(9)).torn_bytes
+    (47, 9)
+    >>> decode_ledger(whole[:70] + b"!" + whole[71:])
     Traceback (most recent call last):
-    gatebank.replay.entries.Damaged: entry 0 does not check
+    gatebank.replay.errors.LedgerDamagedError: entry 0 does not check
     """
-    if len(data) < HEAD.size or not data[HEAD.size - 4 : HEAD.size].strip(b"\0"):
-        if any(data[HEAD.size :]):
-            raise Damaged("its head is gone")
-        return torn(Book(b""), 0, len(data))
-    magic, name, check = HEAD.unpack_from(data)
-    if magic != MAGIC or crc32(data[: HEAD.size - 4]) != check:
-        raise Damaged("its head does not check" if magic[:15] == MAGIC[:15] else "it is no ledger")
-    book, at = Book(name), HEAD.size
+    if len(data) < HEADER.size or not data[HEADER_CHECKSUM].strip(b"\0"):
+        if any(data[HEADER.size :]):
+            raise LedgerDamagedError("its head is gone")
+        return _torn(LedgerBook(b""), 0, len(data))
+    book = LedgerBook(_decode_header(data))
+    at = HEADER.size
     while at < len(data):
         part = data[at : at + ENTRY.size]
-        rest = data[at + ENTRY.size :]
-        checks = len(part) == ENTRY.size and crc32(part[:40]) == int.from_bytes(part[40:44], "little")
-        if len(part) < ENTRY.size or not (part[44] or checks):  # its end was never written
-            if any(rest):
-                raise Damaged(f"entry {book.count} ends in zeros, and others follow")
-            return torn(book, at, len(data) - at)
-        mark, kind, ending, number, when, who, _, end = ENTRY.unpack(part)
-        whole = checks and (mark, end, number) == (MARK, END, book.count) and part[45:] == b"\0\0\0"
-        if not whole or kind not in set(Kind) or ending >= len(ENDINGS):
-            raise Damaged(f"entry {book.count} does not check")
-        book.put(Entry(Kind(kind), who, when, ENDINGS[ending]))
+        if _is_torn(part):
+            if any(data[at + ENTRY.size :]):
+                raise LedgerDamagedError(f"entry {book.count} ends in zeros, and others follow")
+            return _torn(book, at, len(data) - at)
+        book.add(_decode_entry(part, book.count))
         at += ENTRY.size
     return book
 
 
-def torn(book: Book, size: int, cut: int) -> Book:
-    book.size, book.torn = size, cut
+def _decode_header(data: bytes) -> bytes:
+    """The ledger's name."""
+    magic, name, checksum = HEADER.unpack_from(data)
+    if magic != MAGIC or crc32(data[: HEADER_CHECKSUM.start]) != checksum:
+        is_ledger = magic[:-1] == MAGIC[:-1]
+        raise LedgerDamagedError("its head does not check" if is_ledger else "it is no ledger")
+    return bytes(name)
+
+
+def _is_torn(part: bytes) -> bool:
+    """Whether the end of this entry was never written."""
+    return len(part) < ENTRY.size or not (part[ENTRY_END] or _checks(part))
+
+
+def _checks(part: bytes) -> bool:
+    return crc32(part[: ENTRY_CHECKSUM.start]) == int.from_bytes(part[ENTRY_CHECKSUM], "little")
+
+
+def _decode_entry(part: bytes, number: int) -> LedgerEntry:
+    begin, kind, ending, own_number, at, name, _, end = ENTRY.unpack(part)
+    is_framed = (begin, end, own_number) == (BEGIN_MARK, END_MARK, number)
+    is_whole = _checks(part) and is_framed and part[ENTRY_END + 1 :] == ENTRY_PADDING
+    if not is_whole or kind not in set(EntryKind) or ending >= len(ENDINGS):
+        raise LedgerDamagedError(f"entry {number} does not check")
+    return LedgerEntry(EntryKind(kind), name, at, ENDINGS[ending])
+
+
+def _torn(book: LedgerBook, size: int, torn_bytes: int) -> LedgerBook:
+    book.size = size
+    book.torn_bytes = torn_bytes
     return book
 
 
-def entered(names: Iterable[bytes], at: int) -> list[Entry]:
-    return [Entry(Kind.ENTERED, name, at) for name in names]
+def entered(names: Iterable[bytes], at: int) -> list[LedgerEntry]:
+    """The entries of a request that is about to be sent; ``at``: ns of Unix time."""
+    return [LedgerEntry(EntryKind.ENTERED, name, at) for name in names]
--- a/gatebank/replay/section.py
+++ b/gatebank/replay/section.py
@@ -1,4 +1,4 @@
-"""`target(...)`: where a replay may send, and what."""
+"""`target(...)` in the operators' file, whose field names it has: where a replay may send, and what."""
 
 from __future__ import annotations
 
@@ -12,26 +12,30 @@
 
 
 class Target(Section, kw_only=True, frozen=True):
-    """One address that a replay may reach. What no such section names is never sent to."""
+    """One address that a replay may reach. What no such section names is never sent to.
+
+    Attributes:
+        address: An instance's; for a replay inside, that of discovery, whose endpoint list is used.
+        rehearsal: Nothing that counts runs there: requests with an effect may go, once each.
+        keeps_tickets: Its endpoints may see recorded idempotency keys; otherwise each gets a new one.
+        live_rerunnable: Idempotent requests may go even where the capture shows this address in service.
+        most_per_second: Requests a second; what is beyond it is not offered.
+    """
 
     section: ClassVar[str] = "target"
 
-    # A marshal's; for a replay inside, discovery's, whose roll names the nodes.
     address: str
-    # Nothing that counts runs there: exclusive and ticketed invocations may go, once each.
     rehearsal: bool = False
-    # Its nodes may know recorded tickets; else each gets a new one.
     keeps_tickets: bool = False
-    # Rerunnable ones may go even where the capture shows this address in service.
     live_rerunnable: bool = False
-    # Invocations a second at the most; what is beyond it is not offered.
     most_per_second: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 10_000.0
 
     def check(self) -> Iterator[tuple[str, str]]:
+        """Fields that do not go together, and why."""
         try:
             address(self.address, "address")
-        except ConfigurationError as trouble:
-            yield "address", str(trouble).rpartition(": ")[2]
+        except ConfigurationError as error:
+            yield "address", str(error).rpartition(": ")[2]
         if self.keeps_tickets and not self.rehearsal:
             yield "keeps_tickets", "only a rehearsal target gets ticketed invocations: rehearsal is not set"
         if self.rehearsal and self.live_rerunnable:
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -1,183 +1,268 @@
-"""Invocations to a running marshal over its customers' protocol.
+"""Requests to a running instance over its clients' protocol.
 
-A Line owns its socket, buffer and tasks, and gives them back in `close`, the one place. Nothing is ever sent
-again here: what a broken connection had taken whole is without an answer, what it had not has never left.
+An `InstanceConnection` owns its socket, buffer and tasks, and gives them back in `close`, the one place.
+Nothing is ever sent again here: what a broken connection had taken whole has no response, what it had not was
+never sent.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import OrderedDict, deque
+from typing import NamedTuple
 
+from gatebank.capture.records import Exchange
 from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address
 from gatebank.proxy.sockets import give_back, opened
-from gatebank.replay.player import Play, Player
-
-CONNECT = 2.0  # s until a connection must be up: a marshal on loopback or in the same building takes 0.01
-PART = 1 << 16  # bytes written at once
-MOST_VALUE = 16 << 20  # bytes of a value: larger than any that a marshal passes on
-
-
-class Line:
-    """A connection to the marshal. Commands go one behind another; answers come in their order."""
-
-    def __init__(self, owner: Sockets, key: int) -> None:
-        self.owner, self.key = owner, key
-        self.plays: deque[Play] = deque()  # written or to be written, in order; emptied by answers or `close`
-        self.rest = bytearray()  # not yet taken by the system
-        self.ends: deque[tuple[Play, int]] = deque()  # where in `rest` each one's last byte is
-        self.closed = self.up = False
-        self.sock = opened(owner.where)
-        self.writing: asyncio.Task[None] | None = None
-        self.task = asyncio.ensure_future(self.work())
-        self.done = 0  # bytes taken by the system
-        self.given = 0  # bytes given in all
-
-    def put(self, play: Play) -> None:
-        data = resp.command(play.words)
-        self.plays.append(play)
-        self.given += len(data)
-        self.ends.append((play, self.given))
-        self.rest += data
-        if self.up and self.writing is None:
-            self.write()
-
-    def write(self) -> None:
-        """As much as the system takes at once; the rest by a task."""
+from gatebank.replay.player import Player
+from gatebank.replay.requests import ReplayedRequest, ReplayOutcome
+
+CONNECT_TIMEOUT = 2.0  # s: an instance on loopback or in the same building takes 0.01
+WRITE_BYTES = 1 << 16  # written at once
+MAX_VALUE_BYTES = 16 << 20  # of a value: larger than any that an instance passes on
+BUSY = b"BUSY"
+MAX_RETRY_AFTER_DIGITS = 7  # of ms; longer numbers are nonsense
+MS_PER_SECOND = 1000
+
+
+class ResponseMeaning(NamedTuple):
+    """What a response says of its request.
+
+    Attributes:
+        outcome: What became of it.
+        retry_after: In how many s a rejected request may be sent again; None if that was not said.
+    """
+
+    outcome: ReplayOutcome
+    retry_after: float | None
+
+
+def interpret_reply(reply: resp.Reply) -> ResponseMeaning:
+    """What an instance's response says.
+
+    >>> replies = [resp.Reply("-", [memoryview(line)]) for line in (b"BUSY 250", b"BUSY", b"ERR x")]
+    >>> [(outcome.value, after) for outcome, after in map(interpret_reply, replies)]
+    [('rejected', 0.25), ('rejected', None), ('broken_off', None)]
+    """
+    first = reply.words[0] if reply.words else None
+    if reply.mark in "$*" and first is not None:
+        return ResponseMeaning(ReplayOutcome.SERVED, None)
+    line = bytes(first or b"")
+    if reply.mark != "-" or not line.startswith(BUSY):
+        return ResponseMeaning(ReplayOutcome.FAILED, None)
+    milliseconds = line[len(BUSY) + 1 :]
+    if not milliseconds.isdigit() or len(milliseconds) > MAX_RETRY_AFTER_DIGITS:
+        return ResponseMeaning(ReplayOutcome.REJECTED, None)
+    return ResponseMeaning(ReplayOutcome.REJECTED, int(milliseconds) / MS_PER_SECOND)
+
+
+class UnsentRequest(NamedTuple):
+    """A request whose last byte the system has not taken.
+
+    Attributes:
+        request: The request.
+        end: How many bytes of the connection there are up to its last one.
+    """
+
+    request: ReplayedRequest
+    end: int
+
+
+class InstanceConnection:
+    """A connection to the instance. Commands go one behind another; responses come in their order.
+
+    Args:
+        transport: Its owner.
+        key: What the owner knows it by.
+
+    Attributes:
+        unsent: Requests whose last byte the system has not taken, in order.
+    """
+
+    def __init__(self, transport: SocketTransport, key: int) -> None:
+        self.key = key
+        self.unsent: deque[UnsentRequest] = deque()
+        self._transport = transport
+        self._player = transport.player
+        self._requests: deque[ReplayedRequest] = deque()  # without a response, in order; emptied by `close`
+        self._buffer = bytearray()  # not taken by the system yet
+        self._bytes_added = 0
+        self._bytes_taken = 0  # by the system
+        self._is_up = False
+        self._is_closed = False
+        self._socket = opened(transport.address)
+        self._writing: asyncio.Task[None] | None = None
+        self._task = asyncio.ensure_future(self._run())
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request waits on it."""
+        return not self._requests
+
+    @property
+    def open_count(self) -> int:
+        """Requests whose outcome is not known."""
+        return sum(not request.is_finished for request in self._requests)
+
+    def waits_only_for(self, request: ReplayedRequest) -> bool:
+        """Whether this request is on it, and no other has an outcome to come."""
+        others_are_finished = all(each.is_finished or each is request for each in self._requests)
+        return request in self._requests and others_are_finished
+
+    def send(self, request: ReplayedRequest) -> None:
+        """Sends a request behind all others."""
+        data = resp.command(request.arguments)
+        self._requests.append(request)
+        self._bytes_added += len(data)
+        self.unsent.append(UnsentRequest(request, self._bytes_added))
+        self._buffer += data
+        if self._is_up and self._writing is None:
+            self._write()
+
+    def close(self) -> None:
+        """Gives all back; requests without a response get their outcome."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._writing:  # how much has left of the part being written is not known: as if all had
+            self.on_taken(min(len(self._buffer), WRITE_BYTES))
+        self._transport.forget(self)
+        give_back(self._socket, self._task, self._writing)
+        unsent = {each.request for each in self.unsent}
+        while self._requests:
+            request = self._requests.popleft()
+            outcome = ReplayOutcome.NEVER_SENT if request in unsent else ReplayOutcome.NO_RESPONSE
+            self._player.finish(request, outcome)
+
+    def on_taken(self, size: int) -> None:
+        """The system has taken so many bytes."""
+        del self._buffer[:size]
+        self._bytes_taken += size
+        while self.unsent and self.unsent[0].end <= self._bytes_taken:
+            self.unsent.popleft()
+
+    def _write(self) -> None:
+        """Writes as much as the system takes at once; the rest by a task."""
         try:
-            sent = self.sock.send(self.rest)
+            sent = self._socket.send(self._buffer)
         except BlockingIOError:
             sent = 0
         except OSError:
             self.close()
             return
-        self.took(sent)
-        if self.rest:
-            self.writing = asyncio.ensure_future(self.write_on())
+        self.on_taken(sent)
+        if self._buffer:
+            self._writing = asyncio.ensure_future(self._write_rest())
 
-    async def write_on(self) -> None:
+    async def _write_rest(self) -> None:
         try:
-            while self.rest:
-                part = bytes(self.rest[:PART])
-                await self.owner.player.loop.sock_sendall(self.sock, part)
-                self.took(len(part))
-            self.writing = None
+            while self._buffer:
+                part = bytes(self._buffer[:WRITE_BYTES])
+                await self._player.loop.sock_sendall(self._socket, part)
+                self.on_taken(len(part))
+            self._writing = None
         except OSError:
             self.close()
 
-    def took(self, size: int) -> None:
-        del self.rest[:size]
-        self.done += size
-        while self.ends and self.ends[0][1] <= self.done:
-            self.ends.popleft()
-
-    async def work(self) -> None:
-        loop, inbox = self.owner.player.loop, resp.Inbox(None, MOST_VALUE)
-        inbox.allowance = resp.Allowance(2 * MOST_VALUE)
+    async def _run(self) -> None:
+        """Connects, and reads responses until the connection ends."""
         try:
-            async with asyncio.timeout(CONNECT):
-                await loop.sock_connect(self.sock, self.owner.where)
-            self.up = True
-            if self.rest:
-                self.write()
-            while not self.closed:
-                size = await loop.sock_recv_into(self.sock, inbox.room())
-                if not size:
-                    break
-                inbox.filled(size)
-                for reply in inbox.replies():
-                    if not self.plays:
-                        raise resp.ProtocolError("an answer to nothing")
-                    play = self.plays.popleft()
-                    self.owner.player.ended(play, *understood(reply))
-        except (OSError, TimeoutError, resp.ProtocolError):
-            pass
+            with contextlib.suppress(OSError, TimeoutError, resp.ProtocolError):
+                async with asyncio.timeout(CONNECT_TIMEOUT):
+                    await self._player.loop.sock_connect(self._socket, self._transport.address)
+                self._is_up = True
+                if self._buffer:
+                    self._write()
+                await self._read_responses()
         finally:
             self.close()
 
-    @property
-    def open(self) -> int:
-        return sum(not play.over for play in self.plays)
-
-    def close(self) -> None:
-        if self.closed:
-            return
-        self.closed = True
-        if self.writing:  # how much of the part that it is at has left is not known: as if all had
-            self.took(min(len(self.rest), PART))
-        self.owner.lines.pop(self.key, None)
-        give_back(self.sock, self.task, self.writing)
-        unsent = {play for play, _ in self.ends}
-        while self.plays:
-            play = self.plays.popleft()
-            self.owner.player.ended(play, "never_sent" if play in unsent else "no_answer")
+    async def _read_responses(self) -> None:
+        inbox = resp.Inbox(None, MAX_VALUE_BYTES)
+        inbox.allowance = resp.Allowance(2 * MAX_VALUE_BYTES)
+        while not self._is_closed:
+            size = await self._player.loop.sock_recv_into(self._socket, inbox.room())
+            if not size:
+                return
+            inbox.filled(size)
+            for reply in inbox.replies():
+                if not self._requests:
+                    raise resp.ProtocolError("an answer to nothing")
+                self._player.finish(self._requests.popleft(), *interpret_reply(reply))
 
 
-def understood(reply: resp.Reply) -> tuple[str, float | None]:
-    """An answer's ending, and when to come again, in s.
+class SocketTransport:
+    """Carries requests over connections as recorded (one for each recorded one), or from a pool.
 
-    >>> [understood(resp.Reply("-", [memoryview(line)])) for line in (b"BUSY 250", b"BUSY", b"ERR x")]
-    [('rejected', 0.25), ('rejected', None), ('broken_off', None)]
+    Args:
+        player: The player.
+        address: The instance's.
+        is_pooled: Connections are shared by all requests.
+        max_connections: Connections at once.
     """
-    first = reply.words[0] if reply.words else None
-    if reply.mark in "$*" and first is not None:
-        return "satisfied", None
-    line = bytes(first or b"")
-    if reply.mark == "-" and line.startswith(b"BUSY"):
-        told = line[5:]
-        return "rejected", int(told) / 1000 if told.isdigit() and len(told) < 8 else None
-    return "broken_off", None
 
+    def __init__(self, player: Player, address: Address, is_pooled: bool, max_connections: int) -> None:
+        self.player = player
+        self.address = address
+        self._is_pooled = is_pooled
+        self._max_connections = max_connections
+        self._connections: OrderedDict[int, InstanceConnection] = OrderedDict()  # the longest unused first
+        self._last_key = 0
+
+    def refusal(self, _: Exchange) -> str:
+        """See `RequestTransport.refusal`."""
+        if len(self._connections) < self._max_connections or self._is_pooled or self._close_idle():
+            return ""
+        return "connections"
+
+    def send(self, request: ReplayedRequest) -> None:
+        """See `RequestTransport.send`."""
+        recorded = request.exchange.connection
+        connection = self._pooled() if self._is_pooled else self._connections.get(recorded)
+        if connection is None:
+            if len(self._connections) >= self._max_connections and not self._close_idle():
+                self.player.finish(request, ReplayOutcome.NEVER_SENT)
+                return
+            self._last_key += 1
+            key = self._last_key if self._is_pooled else recorded
+            try:
+                connection = InstanceConnection(self, key)
+            except OSError:  # no descriptor is left
+                self.player.finish(request, ReplayOutcome.NEVER_SENT)
+                return
+            self._connections[key] = connection
+        self._connections.move_to_end(connection.key)
+        connection.send(request)
 
-class Sockets:
-    """The front: connections as recorded (one for each recorded one), or from a pool."""
+    def give_up(self, request: ReplayedRequest) -> None:
+        """See `RequestTransport.give_up`; a connection on which no other request waits ends too."""
+        for connection in list(self._connections.values()):
+            if connection.waits_only_for(request):
+                connection.close()
 
-    def __init__(self, player: Player, where: Address, pooled: bool, most: int) -> None:
-        self.player, self.where, self.pooled, self.most = player, where, pooled, most
-        self.lines: OrderedDict[int, Line] = OrderedDict()  # the longest unused first; each goes as it closes
-        self.serial = 0
-        player.serving = self.refuses
+    def close(self) -> None:
+        """See `RequestTransport.close`."""
+        for connection in list(self._connections.values()):
+            connection.close()
 
-    def refuses(self, _: object) -> str:
-        return "" if len(self.lines) < self.most or self.pooled or self.room() else "connections"
+    def forget(self, connection: InstanceConnection) -> None:
+        """A connection has closed."""
+        self._connections.pop(connection.key, None)
 
-    def room(self) -> bool:
-        """Close the longest unused idle connection; false if all have something open."""
-        idle = next((line for line in self.lines.values() if not line.plays), None)
+    def _close_idle(self) -> bool:
+        """Closes the longest unused idle connection; False if all have a request."""
+        idle = next((each for each in self._connections.values() if each.is_idle), None)
         if idle:
             idle.close()
         return idle is not None
 
-    def send(self, play: Play) -> None:
-        line = self.pool() if self.pooled else self.lines.get(play.exchange.connection)
-        if line is None:
-            if len(self.lines) >= self.most and not self.room():
-                self.player.ended(play, "never_sent")
-                return
-            self.serial += 1
-            key = self.serial if self.pooled else play.exchange.connection
-            try:
-                line = self.lines[key] = Line(self, key)
-            except OSError:  # no descriptor
-                self.player.ended(play, "never_sent")
-                return
-        self.lines.move_to_end(line.key)
-        line.put(play)
-
-    def pool(self) -> Line | None:
-        """The last used idle one; where there may be no more, the one with least in hand."""
-        for line in reversed(self.lines.values()):
-            if not line.plays:
-                return line
-        return min(self.lines.values(), key=lambda line: line.open) if len(self.lines) >= self.most else None
-
-    def give_up(self, play: Play) -> None:
-        """Its answer is no longer waited for; if no other waits on the connection, that ends too."""
-        for line in list(self.lines.values()):
-            if play in line.plays and all(each.over or each is play for each in line.plays):
-                line.close()
-
-    def close(self) -> None:
-        for line in list(self.lines.values()):
-            line.close()
+    def _pooled(self) -> InstanceConnection | None:
+        """The last used idle one; where there may be no more, the one with the fewest open requests."""
+        for connection in reversed(self._connections.values()):
+            if connection.is_idle:
+                return connection
+        if len(self._connections) < self._max_connections:
+            return None
+        return min(self._connections.values(), key=lambda connection: connection.open_count)
