--- a/gatebank/capture/reassembly.py
+++ b/gatebank/capture/reassembly.py
@@ -130,17 +130,8 @@
             key = (target, target_port, source, source_port)
         if at > self._now and (not self._now or at - self._now < self._max_clock_step_ns):
             self._now = at
-        connection = self._connections.get(key)
-        if connection is not None and segment.flags & SYN and self._opens_another(connection, segment):
-            self._end(connection, at, EndReason.PORTS_REUSED)
-            del self._connections[key]
-            connection = None
-        if connection is not None:
-            self._connections.move_to_end(key)
-        elif segment.payload or segment.missing or segment.flags & SYN:
-            connection = self._open(key, segment, at)
-        else:
-            self.counts.ends_without_data += 1  # the end of one that this capture no longer holds
+        connection = self._find_or_open(key, segment, at)
+        if connection is None:
             return None
         connection.last_seen = max(connection.last_seen, at)
         connection.packet = packet
@@ -162,6 +153,21 @@
 
     # Opening and removing connections.
 
+    def _find_or_open(self, key: ConnectionKey, segment: Segment, at: int) -> Connection | None:
+        """The connection of a segment, as the most recently active; None if it is not followed."""
+        connection = self._connections.get(key)
+        if connection is not None and segment.flags & SYN and self._opens_another(connection, segment):
+            self._end(connection, at, EndReason.PORTS_REUSED)
+            del self._connections[key]
+            connection = None
+        if connection is not None:
+            self._connections.move_to_end(key)
+            return connection
+        if segment.payload or segment.missing or segment.flags & SYN:
+            return self._open(key, segment, at)
+        self.counts.ends_without_data += 1  # the end of one that this capture no longer holds
+        return None
+
     @staticmethod
     def _opens_another(connection: Connection, segment: Segment) -> bool:
         """Whether this is the SYN of another connection with the same ports, and not the same sent again."""
--- a/gatebank/capture/resp2.py
+++ b/gatebank/capture/resp2.py
@@ -192,8 +192,8 @@
                 buffer.first_packet = self._connection.packet
             inbox = resp.Inbox.over(data, self._collector.limits.max_message_bytes)
             try:
-                for words in inbox.commands():
-                    self._add_command([bytes(word) for word in words], at, buffer)
+                for arguments in inbox.commands():
+                    self._add_command([bytes(argument) for argument in arguments], at, buffer)
                     buffer.first_packet = self._connection.packet
             except resp.ProtocolError:
                 data = data[inbox.start :]
--- a/gatebank/recording/redaction.py
+++ b/gatebank/recording/redaction.py
@@ -132,8 +132,8 @@
         parts: list[bytes] = []
         try:
             if self._has_commands:
-                for words in inbox.commands():
-                    parts.append(self._redaction.command([bytes(word) for word in words]))
+                for arguments in inbox.commands():
+                    parts.append(self._redaction.command([bytes(argument) for argument in arguments]))
             else:
                 parts.extend(map(self._redaction.reply, inbox.replies()))
         except resp.ProtocolError:
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -72,11 +72,8 @@
 
     def rolled(self, entries: list[Endpoint], whole: bool) -> None:
         """Takes an endpoint list; see `Dispatcher.rolled`."""
-
-        def is_live(entry: Endpoint) -> bool:
-            return address_text(self.register.addresses[entry.node]) in self.live
-
-        allowed = [entry for entry in entries if not is_live(entry)]
+        addresses = self.register.addresses
+        allowed = [entry for entry in entries if address_text(addresses[entry.node]) not in self.live]
         if len(allowed) < len(entries):
             left_out = len(entries) - len(allowed)
             self.left_out += left_out
