--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -56,7 +56,7 @@
 
 def measure_window(size: int) -> None:
     """One row comes, one goes, and one kind is counted: what a request does to a window at its size."""
-    window = SlidingWindow()
+    window: SlidingWindow[int] = SlidingWindow()
     rows = deque[tuple[float, int]]()
     clock = Clock()
     for number in range(size):
@@ -162,7 +162,7 @@
 def measure_outstanding(size: int) -> None:
     """An attempt starts, one ends, and those are counted that are not at unresponsive endpoints."""
     endpoints = make_endpoints(size)
-    outstanding = OutstandingAttempts()
+    outstanding: OutstandingAttempts[EndpointState] = OutstandingAttempts()
     attempts: list[tuple[EndpointState, int]] = []
     turn = 0
     for number, endpoint in enumerate(endpoints):
--- a/benchmarks/reading.py
+++ b/benchmarks/reading.py
@@ -16,8 +16,8 @@
 
 from benchmarks.harness import Spread, run_json
 from benchmarks.traffic import Traffic
-from gatebank.capture.packets import Packets
-from gatebank.capture.reading import Reading
+from gatebank.capture.packets import PacketReader
+from gatebank.capture.reading import CaptureReader
 
 KINDS = {
     "large segments": Traffic(4_000, 60_000),
@@ -34,7 +34,7 @@
 
 def decode_packets(pieces: Pieces) -> int:
     """Decode each packet with the library, and return how many there are."""
-    packets = Packets()
+    packets = PacketReader()
     decode = dpkt.ethernet.Ethernet
     count = 0
     for piece in pieces:
@@ -46,13 +46,13 @@
 
 def frame_packets(pieces: Pieces) -> int:
     """Find each packet in the file's format, and return how many there are."""
-    packets = Packets()
+    packets = PacketReader()
     return sum(1 for piece in pieces for _ in packets.feed(piece))
 
 
 def read_exchanges(pieces: Pieces) -> int:
     """Read all exchanges, and return how many are whole."""
-    reading = Reading()
+    reading = CaptureReader()
     count = sum(exchange.whole for piece in pieces for exchange in reading.feed(piece))
     return count + sum(exchange.whole for exchange in reading.end())
 
@@ -89,14 +89,14 @@
 def print_peak_memory(megabytes: int) -> None:
     """Read so much traffic, made as it is read; print the peak memory in MB and the bytes read, as JSON."""
     exchanges = megabytes * 1_000_000 // EXCHANGE_BYTES
-    reading = Reading()
+    reading = CaptureReader()
     count = 0
     for piece in Traffic(exchanges, 20_000, 16_384).pieces():
         count += sum(exchange.whole for exchange in reading.feed(piece))
     count += sum(exchange.whole for exchange in reading.end())
     assert count == exchanges, (count, exchanges)
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
-    print([peak, reading.packets.read])
+    print([peak, reading.packets.bytes_read])
 
 
 def measure_memory() -> None:
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -74,7 +74,7 @@
 
     def blocks(self) -> Iterator[bytes]:
         """Yield the capture's blocks in order."""
-        yield writing.section() + writing.interface("customers", ETHERNET_LINK)
+        yield writing.section_block() + writing.interface_block("customers", ETHERNET_LINK)
         for conversation in self.conversations:
             yield from self.packets(conversation.open())
         reply = b"$%d\r\n%b\r\n" % (len(self.value), self.value)
@@ -91,12 +91,12 @@
         """Yield the packets in which one side sends some bytes."""
         size = self.traffic.segment_bytes
         for start in range(0, len(data), size):
-            yield from self.packets(conversation.say(side, data[start : start + size]))
+            yield from self.packets(conversation.send(side, data[start : start + size]))
 
     def packets(self, datagrams: Iterator[bytes] | list[bytes]) -> Iterator[bytes]:
         """Yield the blocks of some IP datagrams, now and then in another order."""
         for datagram in datagrams:
-            block = writing.packet(0, self.now_ns, ETHERNET + datagram)
+            block = writing.packet_block(0, self.now_ns, ETHERNET + datagram)
             if self.held is not None:
                 yield block
                 yield self.held
--- a/gatebank/cli/capture/check.py
+++ b/gatebank/cli/capture/check.py
@@ -9,8 +9,9 @@
 import orjson
 import typer
 
-from gatebank.capture.reading import Reading
-from gatebank.capture.records import clock, harmless
+from gatebank.capture.reading import CaptureReader
+from gatebank.capture.terminal import printable
+from gatebank.capture.timestamps import utc_time
 from gatebank.cli.capture.source import CaptureSource
 from gatebank.cli.terminal import INCOMPLETE_STATUS, clean_end
 
@@ -24,7 +25,7 @@
         CommandLineError: A file cannot be read, or the only file is not a capture.
         typer.Exit: Status 1 if anything could not be read.
     """
-    with clean_end(lambda: f"{source.reading.packets.count} packets"):
+    with clean_end(lambda: f"{source.reading.packets.packet_count} packets"):
         counts = count(source)
         trouble = source.reading.trouble()
         if as_json:
@@ -60,14 +61,14 @@
             mark = "  <" if name in trouble else ""
             print(f"{number:>14} {name.replace('_', ' ')}{mark}")
     for line in source.incomplete:
-        print(f"not read to its end: {harmless(line)}")
+        print(f"not read to its end: {printable(line)}")
     if trouble:
         print("marked <: could not be read, or was given up")
 
 
-def print_time_span(reading: Reading) -> None:
+def print_time_span(reading: CaptureReader) -> None:
     """Print when the first and the last packet were recorded, if there are any."""
     first = reading.first_at
     last = reading.last_at
     if first:
-        print(f"from {clock(first)} to {clock(last)}, {(last - first) / 1e9:.3f} s")
+        print(f"from {utc_time(first)} to {utc_time(last)}, {(last - first) / 1e9:.3f} s")
--- a/gatebank/cli/capture/compare.py
+++ b/gatebank/cli/capture/compare.py
@@ -7,8 +7,9 @@
 
 import orjson
 
-from gatebank.capture.compare import Comparison, quantiles
-from gatebank.capture.records import Filter, harmless
+from gatebank.capture.compare import Comparison, percentiles
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.terminal import printable
 from gatebank.cli.capture.source import CaptureSource
 from gatebank.cli.terminal import clean_end, warn_each
 
@@ -16,7 +17,7 @@
 Quantiles = Mapping[str, float]
 
 
-def run(a: CaptureSource, b: CaptureSource, selection: Filter, as_json: bool) -> None:
+def run(a: CaptureSource, b: CaptureSource, selection: ExchangeFilter, as_json: bool) -> None:
     """Read both captures, match their exchanges and print what was found.
 
     Raises:
@@ -24,9 +25,9 @@
     """
     comparison = Comparison()
     with clean_end(lambda: f"{comparison.matched} matched"):
-        for source, add in ((a, comparison.a), (b, comparison.b)):
+        for source, add in ((a, comparison.add_a), (b, comparison.add_b)):
             for exchange in source.exchanges():
-                if selection(exchange) and exchange.asked_whole:
+                if selection(exchange) and exchange.command_is_complete:
                     add(exchange)
         if as_json:
             print_json(comparison)
@@ -46,19 +47,19 @@
 
 
 def latency_quantiles(comparison: Comparison) -> dict[str, Quantiles]:
-    """Return the quantiles of all latencies, and of those that differ, in ms."""
+    """Return the percentiles of all latencies, and of those that differ, in ms."""
     return {
-        "a": quantiles(comparison.all_a),
-        "b": quantiles(comparison.all_b),
-        "slower": quantiles(comparison.slower),
-        "faster": quantiles(comparison.faster),
+        "a": percentiles(comparison.latency_a),
+        "b": percentiles(comparison.latency_b),
+        "slower": percentiles(comparison.slower),
+        "faster": percentiles(comparison.faster),
     }
 
 
 def print_json(comparison: Comparison) -> None:
     """Print one JSON object."""
     names = ("workload", "key", "a", "b")
-    examples = [dict(zip(names, example, strict=True)) for example in comparison.otherwise]
+    examples = [dict(zip(names, example, strict=True)) for example in comparison.examples]
     changes = [
         {"a": before, "b": after, "count": number} for (before, after), number in comparison.changes.items()
     ]
@@ -72,14 +73,14 @@
         print(f"{number:>10} {name.replace('_', ' ')}")
     for (before, after), number in comparison.changes.most_common():
         print(f"{number:>10} {before} became {after}")
-    for request_class, key, before, after in comparison.otherwise[:SHOWN_EXAMPLES]:
-        print(f"{'':>10} {harmless(request_class, 20)} {harmless(key, 30)}: {before}, then {after}")
+    for request_class, key, before, after in comparison.examples[:SHOWN_EXAMPLES]:
+        print(f"{'':>10} {printable(request_class, 20)} {printable(key, 30)}: {before}, then {after}")
     for name, values in latency_quantiles(comparison).items():
         print(quantile_line(name, values))
 
 
 def quantile_line(name: str, values: Quantiles) -> str:
-    """Return a line for people about some quantiles in ms.
+    """Return a line for people about some percentiles in ms.
 
     >>> quantile_line("a", {"p50": 1.0, "p99": 2.5}), quantile_line("b", {})
     ('         a ms: p50 1.000 p99 2.500', '         b ms: none')
--- a/gatebank/cli/capture/cut.py
+++ b/gatebank/cli/capture/cut.py
@@ -11,9 +11,9 @@
 from typing import BinaryIO, NamedTuple
 
 from gatebank.capture import writing
-from gatebank.capture.layers import FIN, RAW, RST, SYN
-from gatebank.capture.packets import Packet
-from gatebank.capture.records import Filter
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.packet import Packet
+from gatebank.capture.segments import FIN, LINK_RAW, RST, SYN
 from gatebank.cli.capture.source import CaptureSource
 from gatebank.cli.terminal import CommandLineError, clean_end, warn_each
 
@@ -41,7 +41,7 @@
     spans: dict[int, list[PacketSpan]] = field(default_factory=dict)
 
 
-def run(source: CaptureSource, selection: Filter, out: Path, whole_streams: bool) -> None:
+def run(source: CaptureSource, selection: ExchangeFilter, out: Path, whole_streams: bool) -> None:
     """Write the packets of the chosen exchanges to ``out``.
 
     Args:
@@ -64,7 +64,7 @@
     warn_each(source.incomplete)
 
 
-def find_packets(source: CaptureSource, selection: Filter, chosen: ChosenPackets) -> None:
+def find_packets(source: CaptureSource, selection: ExchangeFilter, chosen: ChosenPackets) -> None:
     """Read the capture once and add the packets of each chosen exchange to ``chosen``.
 
     Raises:
@@ -77,7 +77,7 @@
         if chosen.exchanges > MAX_EXCHANGES:
             raise CommandLineError(f"the filters choose more than {MAX_EXCHANGES} exchanges")
         span = PacketSpan(exchange.first_packet, exchange.last_packet)
-        chosen.spans.setdefault(exchange.stream, []).append(span)
+        chosen.spans.setdefault(exchange.connection, []).append(span)
     for spans in chosen.spans.values():
         spans.sort(reverse=True)  # so that the second pass can pop what it has passed
 
@@ -120,13 +120,14 @@
     reading = source.new_reading()
     for _, piece in source.pieces(progress=True):
         for packet in reading.packets.feed(piece or b""):
-            stream = reading.packet(packet)
-            reading.dialogues.found.clear()
-            if stream is None or stream.serial not in chosen.spans:
+            connection = reading.add_packet(packet)
+            reading.exchanges.reported.clear()
+            if connection is None or connection.number not in chosen.spans:
                 continue
             # How a connection begins and ends is part of what its exchanges mean.
             marks_end = reading.segment and reading.segment.flags & (SYN | FIN | RST)
-            if whole_streams or marks_end or is_in_span(chosen.spans[stream.serial], reading.packets.count):
+            spans = chosen.spans[connection.number]
+            if whole_streams or marks_end or is_in_span(spans, reading.packets.packet_count):
                 yield packet
 
 
@@ -142,7 +143,7 @@
         self.file = file
         self.written = 0
         self.interfaces: dict[tuple[int, str | None], int] = {}
-        file.write(writing.section("cut"))
+        file.write(writing.section_block("cut"))
 
     def write(self, packet: Packet) -> None:
         """Write a packet, and its interface before it where it is the first of one."""
@@ -150,12 +151,12 @@
         if key not in self.interfaces:
             self.interfaces[key] = len(self.interfaces)
             name = INTERFACE_NAMES.get(packet.side or "", "")
-            self.file.write(writing.interface(name, packet.link))
+            self.file.write(writing.interface_block(name, packet.link))
         interface = self.interfaces[key]
-        self.file.write(writing.packet(interface, packet.at, packet.data, packet.length))
+        self.file.write(writing.packet_block(interface, packet.at, packet.data, packet.length))
         self.written += 1
 
     def finish(self) -> None:
         """Give a file without packets the interface that every capture file needs."""
         if not self.interfaces:
-            self.file.write(writing.interface("", RAW))
+            self.file.write(writing.interface_block("", LINK_RAW))
--- a/gatebank/cli/capture/ledger.py
+++ b/gatebank/cli/capture/ledger.py
@@ -8,10 +8,11 @@
 
 import orjson
 
-from gatebank.capture.records import clock
+from gatebank.capture.timestamps import utc_time
 from gatebank.cli.terminal import CommandLineError
-from gatebank.replay.entries import Kind
-from gatebank.replay.ledger import Ledger, Unusable
+from gatebank.replay.entries import EntryKind
+from gatebank.replay.errors import ReplayError
+from gatebank.replay.ledger import Ledger
 
 SHOWN_ENTRIES = 50  # with no known result, for people; --json lists all
 
@@ -23,11 +24,11 @@
         CommandLineError: There is no ledger, or it cannot be read.
     """
     ledger = read_ledger(folder)
-    entries = ledger.book.rows.values()
-    unsure = ledger.book.unsure()
+    entries = ledger.book.entries.values()
+    unsure = ledger.book.unsure_entries()
     results: Counter[str] = Counter()
     for entry in entries:
-        results["unsure" if entry.kind is not Kind.ANSWERED else entry.ending] += 1
+        results["unsure" if entry.kind is not EntryKind.ANSWERED else entry.ending] += 1
     ledger.close()
     if as_json:
         rows = [{"name": entry.name.hex(), "at": entry.at} for entry in unsure]
@@ -38,7 +39,7 @@
     for name, number in sorted(results.items()):
         print(f"{number:>10} {name.replace('_', ' ')}")
     for entry in unsure[:SHOWN_ENTRIES]:
-        print(f"unsure since {clock(entry.at)}: {entry.name.hex()}")
+        print(f"unsure since {utc_time(entry.at)}: {entry.name.hex()}")
 
 
 def read_ledger(folder: Path) -> Ledger:
@@ -52,6 +53,6 @@
         raise CommandLineError("no ledger is there", folder)
     try:
         ledger.open()
-    except Unusable as error:
+    except ReplayError as error:
         raise CommandLineError(error) from error
     return ledger
--- a/gatebank/cli/capture/replay.py
+++ b/gatebank/cli/capture/replay.py
@@ -14,7 +14,7 @@
 import typer
 import uvloop
 
-from gatebank.capture.records import Filter
+from gatebank.capture.filters import ExchangeFilter
 from gatebank.cli.capture import replay_output
 from gatebank.cli.capture.options import ReplayOptions
 from gatebank.cli.capture.replay_session import ReplayPlan, play
@@ -26,6 +26,7 @@
     warn,
     warn_each,
 )
+from gatebank.events import RetrySafety
 from gatebank.operator_config import operators_file
 from gatebank.proxy import log
 from gatebank.proxy.configuration import (
@@ -35,8 +36,9 @@
     address,
     load_configuration,
 )
-from gatebank.replay.guard import Guard, Refused, written
-from gatebank.replay.ledger import Ledger, Unusable
+from gatebank.replay.errors import ReplayError
+from gatebank.replay.guard import Guard, address_text
+from gatebank.replay.ledger import Ledger
 from gatebank.replay.section import Target
 
 MIN_PACE = 0.001
@@ -44,7 +46,6 @@
 LINE_MODES = ("recorded", "pooled")
 MAX_LIVE_SERVERS = 1_000_000  # remembered of a capture, some 100 bytes each
 CLIENT_SIDE = "customer"  # as captures name the side at which requests come in
-IDEMPOTENT = "rerunnable"  # as captures name requests that may run twice
 
 
 @dataclass(slots=True)
@@ -77,7 +78,7 @@
     configuration: Configuration | None
 
 
-def run(source: CaptureSource, selection: Filter, options: ReplayOptions, as_json: bool) -> None:
+def run(source: CaptureSource, selection: ExchangeFilter, options: ReplayOptions, as_json: bool) -> None:
     """Send the chosen requests again and print what became of them.
 
     Raises:
@@ -97,7 +98,7 @@
         raise CommandLineError(
             f"{survey.not_idempotent} exclusive or ticketed invocations are chosen; they need --ledger FOLDER"
         )
-    unsure_before = 0 if ledger is None else len(ledger.book.unsure())
+    unsure_before = 0 if ledger is None else len(ledger.book.unsure_entries())
     plan = ReplayPlan(
         source=source,
         selection=selection,
@@ -162,7 +163,7 @@
     return ReplayTarget(configuration.roll, configuration)
 
 
-def survey_capture(source: CaptureSource, selection: Filter) -> Survey:
+def survey_capture(source: CaptureSource, selection: ExchangeFilter) -> Survey:
     """Read the whole capture once.
 
     Raises:
@@ -175,7 +176,7 @@
                 survey.live.add(exchange.server)
             if selection(exchange):
                 survey.exchanges += 1
-                survey.not_idempotent += exchange.effects != IDEMPOTENT
+                survey.not_idempotent += exchange.retry_safety is not RetrySafety.IDEMPOTENT
                 survey.client_side += exchange.side == CLIENT_SIDE
     except KeyboardInterrupt:
         warn("interrupted before anything was sent")
@@ -193,9 +194,9 @@
         CommandLineError: The target is refused, or the ledger cannot be read.
     """
     try:
-        guard = Guard(targets, written(target.address), survey.live)
+        guard = Guard(targets, address_text(target.address), survey.live)
         if ledger:
             ledger.open()
-    except (Refused, Unusable) as error:
+    except ReplayError as error:
         raise CommandLineError(error) from error
     return guard
--- a/gatebank/cli/capture/replay_output.py
+++ b/gatebank/cli/capture/replay_output.py
@@ -9,7 +9,7 @@
 import orjson
 import typer
 
-from gatebank.capture.records import harmless
+from gatebank.capture.terminal import printable
 from gatebank.cli.capture.compare import quantile_line
 from gatebank.cli.terminal import INCOMPLETE_STATUS, INTERRUPTED_STATUS, warn
 from gatebank.replay import report as replay_report
@@ -69,7 +69,7 @@
 def print_listed(rows: list[dict[str, Any]]) -> None:
     """Print a line for each request that was withheld or has no known result, up to MAX_LISTED."""
     for row in rows[:MAX_LISTED]:
-        request = " ".join(harmless(row[name], 40) for name in ("effects", "workload", "key", "id"))
+        request = " ".join(printable(row[name], 40) for name in ("effects", "workload", "key", "id"))
         print(f"{row['what']} ({row['why'].replace('_', ' ')}): {request}")
     if len(rows) > MAX_LISTED:
         print(f"and {len(rows) - MAX_LISTED} more; --json lists them")
--- a/gatebank/cli/capture/replay_session.py
+++ b/gatebank/cli/capture/replay_session.py
@@ -13,14 +13,15 @@
 from queue import Full, Queue
 from typing import Any
 
-from gatebank.capture.records import Exchange, Filter
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.records import Exchange
 from gatebank.cli.capture.options import ReplayOptions
 from gatebank.cli.capture.source import CaptureSource
 from gatebank.proxy.configuration import Address, Configuration
 from gatebank.replay.guard import Guard
 from gatebank.replay.ledger import Ledger
-from gatebank.replay.player import Player
-from gatebank.replay.schedule import Ordered
+from gatebank.replay.player import Player, PlayerOptions
+from gatebank.replay.schedule import AskingOrder
 
 MAX_QUEUED = 4096  # exchanges read ahead of what is due
 MAX_REORDERED_BYTES = 64 << 20  # of exchanges that wait for their turn in the order of their requests
@@ -49,7 +50,7 @@
     """
 
     source: CaptureSource
-    selection: Filter
+    selection: ExchangeFilter
     side: str | None
     options: ReplayOptions
     guard: Guard
@@ -71,14 +72,14 @@
         without_request: How many were left out because their request was not captured.
     """
 
-    def __init__(self, source: CaptureSource, selection: Filter, side: str | None) -> None:
+    def __init__(self, source: CaptureSource, selection: ExchangeFilter, side: str | None) -> None:
         """Read nothing before ``start`` is called."""
         super().__init__(name="reader", daemon=True)
         self.source = source
         self.selection = selection
         self.side = side
         self.queue: Queue[Exchange | None] = Queue(MAX_QUEUED)
-        self.order = Ordered(int(REORDER_HORIZON * 1e9), MAX_REORDERED_BYTES)
+        self.order = AskingOrder(int(REORDER_HORIZON * 1e9), MAX_REORDERED_BYTES)
         self.stopping = False
         self.error = ""
         self.other_side = 0
@@ -110,7 +111,7 @@
         elif exchange.asked_at is None:
             self.without_request += 1
         else:
-            for ready in self.order.put(exchange, self.source.reading.last_at):
+            for ready in self.order.add(exchange, self.source.reading.last_at):
                 self.put(ready)
 
     def put(self, exchange: Exchange | None) -> None:
@@ -131,10 +132,12 @@
         reader.queue,
         plan.guard,
         plan.ledger,
-        options.pace,
-        options.most_in_hand,
-        options.patient,
-        os.urandom(RUN_ID_BYTES),
+        PlayerOptions(
+            speed=options.pace,
+            max_in_flight=options.most_in_hand,
+            retry_rejected=options.patient,
+            run_key=os.urandom(RUN_ID_BYTES),
+        ),
     )
     await connect(player, plan)
     for number in (signal.SIGINT, signal.SIGTERM):
@@ -146,7 +149,7 @@
             await player.play()
         finally:
             reader.stopping = True
-            player.front.close()
+            player.transport.close()
             await asyncio.sleep(0)  # connections that were closed get their turn
             if plan.ledger:
                 await plan.ledger.finish()
@@ -157,25 +160,27 @@
     """Give the player its way to the target: an instance in this process, or connections to one elsewhere."""
     options = plan.options
     if plan.configuration is None:
-        from gatebank.replay.sockets import Sockets  # only one of the two is needed
+        from gatebank.replay.sockets import SocketTransport  # only one of the two is needed
 
-        player.front = Sockets(player, plan.address, options.lines == "pooled", options.most_lines)
+        player.transport = SocketTransport(
+            player, plan.address, options.lines == "pooled", options.most_lines
+        )
         return
-    from gatebank.replay.inside import Inside
+    from gatebank.replay.inside import InProcessTransport
 
-    instance = Inside(player, plan.configuration, plan.live)
-    player.front = instance
+    instance = InProcessTransport(player, plan.configuration, plan.live)
+    player.transport = instance
     if not await instance.ready():
         player.stop("discovery tells of no node that may be sent to")
 
 
 def report_of(player: Player, reader: ReaderThread, ledger: Ledger | None) -> dict[str, Any]:
     """Return what became of all requests, by the names that ``--json`` prints."""
-    report = player.report.told()
+    report = player.report.summary()
     report["stopped"] = player.stopped
     report["left_out_other_side"] = reader.other_side
     report["not_whole"] = reader.without_request
-    report["out_of_order"] = reader.order.late
+    report["out_of_order"] = reader.order.late_count
     report["reader_trouble"] = reader.error
     report["ledger_trouble"] = str(ledger.broken or "") if ledger else ""
     report["ledger_syncs"] = ledger.syncs if ledger else 0
--- a/gatebank/cli/capture/show.py
+++ b/gatebank/cli/capture/show.py
@@ -10,15 +10,16 @@
 import orjson
 import typer
 
-from gatebank.capture import records
-from gatebank.capture.records import Exchange, Filter
+from gatebank.capture import records, table
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.records import Exchange
 from gatebank.cli.capture.source import CaptureSource
 from gatebank.cli.terminal import INCOMPLETE_STATUS, CommandLineError, clean_end, warn_each
 
 PARQUET_BATCH_ROWS = 10_000  # rows held in memory before they are written
 
 
-def run(source: CaptureSource, selection: Filter, as_json: bool, parquet: Path | None) -> None:
+def run(source: CaptureSource, selection: ExchangeFilter, as_json: bool, parquet: Path | None) -> None:
     """Print the chosen exchanges, or write them to a Parquet file.
 
     Raises:
@@ -44,7 +45,7 @@
         count: How many have been given out.
     """
 
-    def __init__(self, source: CaptureSource, selection: Filter) -> None:
+    def __init__(self, source: CaptureSource, selection: ExchangeFilter) -> None:
         """Read nothing yet."""
         self.source = source
         self.selection = selection
@@ -61,7 +62,7 @@
 def print_rows(rows: CountedExchanges, as_json: bool) -> None:
     """Print one line for each exchange, as JSON or as a table with a heading."""
     if not as_json:
-        print(records.heading(), flush=True)
+        print(table.table_heading(), flush=True)
     format_row: Callable[[Exchange], bytes] = json_row if as_json else table_row
     output = sys.stdout.buffer
     # A progress bar would be drawn over rows that go to the same terminal.
@@ -77,7 +78,7 @@
 
 def table_row(exchange: Exchange) -> bytes:
     """Return an exchange as a line of the table."""
-    return records.line(exchange).encode()
+    return table.table_row(exchange).encode()
 
 
 def write_parquet(rows: CountedExchanges, path: Path) -> None:
--- a/gatebank/cli/capture/source.py
+++ b/gatebank/cli/capture/source.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 from typing import BinaryIO
 
-from gatebank.capture.bounds import ReadingBounds
-from gatebank.capture.packets import Packets
-from gatebank.capture.reading import Reading
-from gatebank.capture.records import ENDINGS, SIDES, Exchange, Filter, moment
+from gatebank.capture.filters import ExchangeFilter
+from gatebank.capture.limits import ReadingLimits
+from gatebank.capture.reading import CaptureReader
+from gatebank.capture.records import ENDINGS, SIDES, Exchange
+from gatebank.capture.timestamps import parse_time
 from gatebank.cli.capture.options import (
     CommonFilterOptions,
     FilterOptions,
@@ -28,7 +29,7 @@
     begin: str | None = None,
     end: str | None = None,
     end_option: str = "--to",
-) -> Filter:
+) -> ExchangeFilter:
     """Return the filter that the options ask for.
 
     Args:
@@ -46,11 +47,11 @@
     for port in rest.port or ():
         if not 0 < port < 65536:
             raise CommandLineError(f"{port} is not a port", "--port")
-    return Filter(
-        begin=parse_time("--from", begin),
-        end=parse_time(end_option, end),
-        workload=chosen(options.workload),
-        customer=chosen(options.customer),
+    return ExchangeFilter(
+        begin=parse_time_option("--from", begin),
+        end=parse_time_option(end_option, end),
+        request_class=chosen(options.workload),
+        tenant=chosen(options.customer),
         key=chosen(rest.key),
         id=chosen(rest.id_),
         ended=chosen(rest.ended),
@@ -71,7 +72,7 @@
         raise CommandLineError(f"{unknown[0]!r} is not known; allowed are {', '.join(allowed)}", option)
 
 
-def parse_time(option: str, text: str | None) -> int | None:
+def parse_time_option(option: str, text: str | None) -> int | None:
     """Return a time in ns of Unix time, or None if there is none.
 
     Raises:
@@ -80,7 +81,7 @@
     if text is None:
         return None
     try:
-        return moment(text)
+        return parse_time(text)
     except ValueError as error:
         raise CommandLineError(error, option) from error
 
@@ -108,15 +109,15 @@
         """
         self.files = files
         self.servers = servers or ServerOptions()
-        self.limits = ReadingBounds() if limits is None else reading_bounds(limits)
+        self.limits = ReadingLimits() if limits is None else reading_bounds(limits)
         self.reading = self.new_reading()
         self.incomplete: list[str] = []
 
-    def new_reading(self) -> Reading:
+    def new_reading(self) -> CaptureReader:
         """Return a reading that has seen nothing yet."""
-        nodes = self.servers.node or []
-        marshals = self.servers.marshal or []
-        return Reading(self.limits, nodes=nodes, marshals=marshals)
+        endpoints = self.servers.node or []
+        instances = self.servers.marshal or []
+        return CaptureReader(self.limits, endpoints=endpoints, instances=instances)
 
     def require_files(self) -> None:
         """Raise CommandLineError unless all can be read more than once."""
@@ -163,25 +164,21 @@
         """Note whether a file was read to its end, and let the next file's packets continue the capture."""
         packets = self.reading.packets
         packets.end()
-        if packets.spoilt:
-            if not packets.count and len(self.files) == 1:
-                raise CommandLineError(packets.spoilt, path)
-            self.incomplete.append(f"{path}: {packets.spoilt}")
+        if packets.error is not None:
+            if not packets.packet_count and len(self.files) == 1:
+                raise CommandLineError(packets.error, path)
+            self.incomplete.append(f"{path}: {packets.error}")
         if path != self.files[-1]:
-            following = Packets(self.limits)
-            following.count = packets.count
-            following.read = packets.read
-            following.unknown = packets.unknown
-            self.reading.packets = following
+            self.reading.next_file()
 
 
-def reading_bounds(limits: ReadingLimitOptions) -> ReadingBounds:
+def reading_bounds(limits: ReadingLimitOptions) -> ReadingLimits:
     """Return the bounds of a reading that the options ask for."""
-    return ReadingBounds(
-        streams=limits.most_streams,
-        gap=limits.most_gap,
-        idle=limits.idle,
-        message=limits.most_message,
+    return ReadingLimits(
+        max_connections=limits.most_streams,
+        max_gap_bytes=limits.most_gap,
+        idle_timeout=limits.idle,
+        max_message_bytes=limits.most_message,
     )
 
 
--- a/gatebank/cli/learn.py
+++ b/gatebank/cli/learn.py
@@ -104,9 +104,9 @@
 
 def print_line(text: str) -> None:
     """Prints a line; names in it may come from elsewhere, so control characters are replaced."""
-    from gatebank.capture.records import harmless
+    from gatebank.capture.terminal import printable
 
-    print(harmless(text))
+    print(printable(text))
 
 
 def item_text(item: StateItem) -> str:
--- a/gatebank/cli/terminal.py
+++ b/gatebank/cli/terminal.py
@@ -11,7 +11,7 @@
 
 import typer
 
-from gatebank.capture.records import harmless
+from gatebank.capture.terminal import printable
 from gatebank.errors import GatebankError
 
 INCOMPLETE_STATUS = 1  # the command ran, but not all of it was well; standard error says what was not
@@ -42,7 +42,7 @@
 
 def warn(message: object) -> None:
     """Write one line on standard error, without anything that a terminal would obey."""
-    typer.echo(f"gatebank: {harmless(message)}", err=True)
+    typer.echo(f"gatebank: {printable(message)}", err=True)
 
 
 def warn_each(messages: Iterable[object]) -> None:
