--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -12,9 +12,11 @@
 
 import typer
 
-from gatebank import __version__
-from gatebank.proxy import discovery, log, service
+from gatebank import __version__, composition
+from gatebank.proxy import log
 from gatebank.proxy.configuration import ConfigurationError, load_configuration
+from gatebank.proxy.control_plane import read_initial_knowledge
+from gatebank.proxy.discovery import EndpointRegistry
 
 if TYPE_CHECKING:
     from gatebank.operator_config.operators_file import OperatorsFile
@@ -63,7 +65,7 @@
     log.begin(log_level)
     environment = surroundings(configuration)
     try:
-        service.serve(load_configuration(environment), environment, operators(orders))
+        composition.serve(load_configuration(environment), environment, operators(orders))
     except ConfigurationError as trouble:
         refuse(trouble)
 
@@ -77,7 +79,7 @@
     extra = operators(orders)
     try:
         found = load_configuration(surroundings(configuration))
-        service.at_start(found, discovery.EndpointRegistry(found.settings))
+        read_initial_knowledge(found, EndpointRegistry(found.settings))
     except ConfigurationError as trouble:
         refuse(trouble)
     workloads = ", ".join(str(each.name) for each in found.settings.request_classes)
--- a/gatebank/cli/replay.py
+++ b/gatebank/cli/replay.py
@@ -82,7 +82,7 @@
         targets = operators.read(way.orders).all(Target)
         environment = dict(os.environ) | {"ROUTER_CONFIG": str(way.inside)}
         posting = load_configuration(environment) if way.inside else None
-        where = address(way.to, "--to") if way.to else posting.roll
+        where = address(way.to, "--to") if way.to else posting.discovery
     except operators.Unusable as trouble:
         typer.echo(str(trouble), err=True)
         raise typer.Exit(2) from None
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -1,19 +1,27 @@
-"""Where alone customers and nodes meet: owns the Marshal and what is in hand.
+"""Where alone downstream and upstream meet: owns the balancer and the requests in flight.
 
-Every event goes through `turn`: the marshal's clock is set, its method called and its acts carried out, in
-order, before the next. What an act brings about at once (a shot that can't be sent) waits for its turn.
+Every event goes through `Dispatcher.dispatch`: the balancer's clock is set, its method called and its actions
+carried out, in order, before the next event. What an action brings about at once (an attempt that can't be
+sent) waits for its turn.
+
+Invariants:
+    Each request has exactly one final answer (`Dispatcher.finish`, `abandon` and `on_attempt_result` all look
+    at ``answered`` first, and set it by `mark_answered` alone).
+    Each attempt has exactly one result (`upstream.Attempt.finish`).
+    A number is not used again before its request is settled (`requests.RequestTable.settle`).
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import time
 from collections import deque
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVarTuple
 
 from gatebank.actions import (
+    Action,
     CancelAttempt,
     CastVote,
     CheckHealth,
@@ -24,7 +32,6 @@
     StartAttempt,
     StartTimer,
     Timer,
-    WatchEndpoints,
 )
 from gatebank.balancer import Balancer
 from gatebank.events import (
@@ -38,318 +45,399 @@
     Request,
 )
 from gatebank.peer_messages import PeerMessage
+from gatebank.proxy.clock import Clock
 from gatebank.proxy.discovery import EndpointRegistry
-from gatebank.proxy.downstream import ClientRequest, CommandError, PendingReply
-from gatebank.proxy.log import LOG, say
+from gatebank.proxy.downstream import ClientRequest, CommandError
+from gatebank.proxy.downstream.replies import ReplySink
+from gatebank.proxy.log import LOG, log_fault, say
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
-from gatebank.proxy.upstream import Attempt, Key, Nodes
+from gatebank.proxy.requests import RequestInFlight, RequestTable
+from gatebank.proxy.started_attempt import StartedAttempt
+from gatebank.proxy.upstream import EndpointKey, EndpointReply, Upstream
 from gatebank.settings import Settings
 
-AT_ONCE = 0.01  # s that a shot is written in where it need not wait for a connection
-ROW = 2048  # bytes an invocation in hand takes besides, about
+Arguments = TypeVarTuple("Arguments")
+DEFAULT_HEALTH_TIMEOUT_S = 1.0  # where the settings have no request class
 
 
-class Clock:
-    """Unix time that never runs backwards: the wall clock's at the start, then the steady one's."""
+@dataclass(slots=True, frozen=True)
+class Event:
+    """A method to call and what with: the balancer's, or one of ours that calls it."""
 
-    def __init__(self) -> None:
-        self.offset = time.time() - time.monotonic()
+    method: Callable[..., None]
+    arguments: tuple[object, ...]
 
-    def __call__(self) -> float:
-        return self.offset + time.monotonic()
 
+class Dispatcher:
+    """Turns what happens into the balancer's events, and its actions into bytes.
 
-class RequestInFlight:
-    """An invocation in hand; its row goes when it is answered and no shot of it is out."""
+    ``upstream``, ``release_service`` and ``peer_transport`` are set before the first event.
 
-    __slots__ = ("answered", "asked", "deadline", "number", "out", "reply", "shots", "timer")
+    Args:
+        settings: The instance's settings.
+        seed: Of the balancer's chance.
+        clock: Unix time in seconds.
+        registry: Endpoints' names and addresses.
+        max_in_flight_bytes: Bound on requests in flight; beyond it they are rejected.
 
-    def __init__(self, number: int, asked: ClientRequest, reply: PendingReply, deadline: float) -> None:
-        self.number, self.asked, self.reply, self.deadline = number, asked, reply, deadline
-        self.shots: list[Attempt | None] = []
-        self.out, self.answered = 0, False
-        self.timer: asyncio.TimerHandle | None = None
+    Attributes:
+        endpoints: The endpoint list as told last, by index.
+        release_status: The release service's last status.
+        counts: Numbers of what happened, by the names that the log line on how things stand uses.
+        lag: Seconds that the latest timer came late since the last such line: this process did not get its
+            turn.
+    """
 
+    upstream: Upstream
+    release_service: ReleaseService
 
-class Dispatcher:
     def __init__(
-        self, settings: Settings, seed: int, clock: Clock, register: EndpointRegistry, most_held: int
+        self,
+        settings: Settings,
+        seed: int,
+        clock: Clock,
+        registry: EndpointRegistry,
+        max_in_flight_bytes: int,
     ) -> None:
-        self.settings, self.clock, self.register = settings, clock, register
+        self.settings = settings
+        self.clock = clock
+        self.registry = registry
         self.loop = asyncio.get_running_loop()
-        self.marshal = Balancer(settings, seed, clock())
-        self.nodes: Nodes  # these three are set before the first event
-        self.desk: ReleaseService
-        self.words: PeerTransport | None = None
-        self.events: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # emptied by `turn`
-        self.turning = False
-        self.held: dict[int, RequestInFlight] = {}
-        self.free: list[int] = []  # numbers used before and free again
-        self.ids: set[bytes] = set()  # of invocations in hand; each goes with its final answer
-        self.held_bytes, self.most_held = 0, most_held
-        self.entries: dict[int, Endpoint] = {}  # the roll as told last
-        self.news: ReleaseStatus | None = None
-        self.counts: dict[str, int] = {}  # as many as there are kinds of endings and answers
-        self.lag = 0.0  # s the latest wake came late, since last told: this process did not get its turn
-        self.patience = min((each.latency_objective for each in settings.request_classes), default=1.0)
-
-    # Events in, one at a time.
-
-    def turn(self, event: Callable[..., None], *words: Any) -> None:
-        self.events.append((event, words))
-        if self.turning:
+        self.balancer = Balancer(settings, seed, clock())
+        self.peer_transport: PeerTransport | None = None
+        self.events: deque[Event] = deque()  # emptied by `dispatch`
+        self.dispatching = False
+        self.requests = RequestTable(max_in_flight_bytes)
+        self.endpoints: dict[int, Endpoint] = {}
+        self.release_status: ReleaseStatus | None = None
+        self.counts: dict[str, int] = {}  # as many as there are kinds of outcomes and answers
+        self.lag = 0.0
+        objectives = [request_class.latency_objective for request_class in settings.request_classes]
+        self.health_timeout = min(objectives, default=DEFAULT_HEALTH_TIMEOUT_S)
+
+    # Events, one at a time.
+
+    def dispatch(self, method: Callable[[*Arguments], None], *arguments: *Arguments) -> None:
+        """Queue an event, and handle all that are queued unless that is being done already.
+
+        This is a boundary that catches all: whatever fails in an event or an action, no request is left
+        without its final answer, and the next event is handled.
+        """
+        self.events.append(Event(method, arguments))
+        if self.dispatching:
             return
-        self.turning = True
+        self.dispatching = True
         try:
             while self.events:
-                event, words = self.events.popleft()
-                self.marshal.now = self.clock()
-                try:
-                    event(*words)
-                except Exception:
-                    LOG.exception("fault", extra={"keys": {"in": getattr(event, "__name__", event)}})
-                    self.rescue(words)
-                actions, self.marshal.actions = self.marshal.actions, []
-                for action in actions:
-                    try:
-                        self.carry_out(action)
-                    except Exception:
-                        LOG.exception("fault", extra={"keys": {"act": type(action).__name__}})
+                self.handle(self.events.popleft())
         finally:
-            self.turning = False
-
-    def rescue(self, words: tuple[Any, ...]) -> None:
-        """The marshal failed in an event: no invocation is left without its final answer."""
-        first = words[0] if words else None
-        held = self.held.get(first.number) if isinstance(first, Request | RequestInFlight) else None
-        if held:
-            self.abandon(held)
-
-    def abandon(self, held: RequestInFlight) -> None:
-        """A final answer in the marshal's stead, which then forgets the invocation."""
-        if not held.answered:
-            held.reply.broken_off("broken off")
-            self.forget(held, "abandoned")
-
-    def forget(self, held: RequestInFlight, why: str) -> None:
-        """Nothing is owed for it any more, and the marshal did not decide so."""
-        self.count(why)
-        self.answered(held, why)
-        self.turn(self.marshal.on_client_disconnect, held.number)
-        self.turn(self.settle, held)
-
-    def start(self, known: list[Endpoint] | None, news: ReleaseStatus | None) -> None:
-        """What a marshal begins with: the roll as it last had it, then the release desk's news."""
-        if known:
-            self.rolled(known, True)
-        if news:
-            self.desk.take(news)
-
-    def invoked(self, asked: ClientRequest, reply: PendingReply) -> None:
-        if asked.id in self.ids:  # a customer's own has a new one each time: this one is another's
+            self.dispatching = False
+
+    def handle(self, event: Event) -> None:
+        """Give the balancer one event, and carry out its actions."""
+        self.balancer.now = self.clock()
+        try:
+            event.method(*event.arguments)
+        except Exception:
+            log_fault(**{"in": getattr(event.method, "__name__", event.method)})
+            self.rescue(event)
+        actions = self.balancer.actions
+        self.balancer.actions = []
+        for action in actions:
+            try:
+                self.carry_out(action)
+            except Exception:
+                log_fault(act=type(action).__name__)
+
+    def rescue(self, event: Event) -> None:
+        """An event failed: if it was about a request, that has its final answer now."""
+        subject = event.arguments[0] if event.arguments else None
+        if isinstance(subject, Request | RequestInFlight) and (request := self.requests.get(subject.number)):
+            self.abandon(request)
+
+    def start(self, endpoints: list[Endpoint] | None, status: ReleaseStatus | None) -> None:
+        """Begin with what was known before: the endpoint list, then the release service's status."""
+        if endpoints:
+            self.on_endpoint_list(endpoints, True)
+        if status:
+            self.release_service.take(status)
+
+    # Events of clients.
+
+    def start_request(self, client_request: ClientRequest, reply: ReplySink) -> None:
+        """Take a request on; its final answer goes to ``reply``.
+
+        Raises:
+            CommandError: Its id is another request's, which is not answered yet.
+        """
+        if client_request.id in self.requests.ids:  # a client's own has a new one each time
             raise CommandError("this id is in hand")
-        if self.held_bytes + asked.size + ROW > self.most_held:
+        if not self.requests.has_room(client_request):
             self.count("overfull")
-            reply.rejected(None)
+            reply.reject(None)
             return
-        self.ids.add(asked.id)
-        self.count("repeated" if asked.repeated else "first tries")
-        number = self.free.pop() if self.free else len(self.held)
-        held = RequestInFlight(number, asked, reply, self.clock() + asked.left)
-        self.held[number] = reply.held = held
-        self.held_bytes += asked.size + ROW
-        held.timer = self.loop.call_later(asked.left, self.time_is_up, held)
-        fields = (asked.workload, asked.tenant, asked.left, asked.cost_guess, asked.key, asked.repeated)
-        self.turn(self.marshal.on_request, Request(number, *fields))
-
-    def give_up(self, reply: PendingReply) -> None:
-        """Its connection must end, and its customer have an answer before."""
-        if reply.held:
-            self.abandon(reply.held)
-
-    def client_left(self, reply: PendingReply) -> None:
-        held = reply.held
-        if held and not held.answered:
-            self.forget(held, "left")
-
-    def time_is_up(self, held: RequestInFlight) -> None:
-        """The customer's time limit: what is out ends, also where the customer has gone and settings forbid
-        to withdraw; the final answer may still be owed."""
-        for shot in held.shots:
-            if shot:
-                shot.give_up(Outcome.TIMED_OUT)
-        if not held.answered:
-            say("unanswered", logging.ERROR, workload=held.asked.workload)
-            self.abandon(held)
-
-    def shot_ended(
-        self,
-        held: RequestInFlight,
-        number: int,
-        node: int,
-        sent: float,
-        ending: Outcome,
-        value: memoryview | None,
-        report: Sequence[float] | None,
+        self.count("repeated" if client_request.is_client_retry else "first tries")
+        timeout = client_request.timeout
+        request = self.requests.add(client_request, reply, self.clock() + timeout)
+        request.timer = self.loop.call_later(timeout, self.on_deadline, request)
+        event = Request(
+            request.number,
+            client_request.request_class,
+            client_request.tenant,
+            timeout,
+            client_request.cost_hint,
+            client_request.key,
+            client_request.is_client_retry,
+        )
+        self.dispatch(self.balancer.on_request, event)
+
+    def on_client_disconnect(self, reply: ReplySink) -> None:
+        """The client has gone: nobody waits for the answer."""
+        request = reply.request
+        if request and not request.answered:
+            self.forget(request, "left")
+
+    def abandon_reply(self, reply: ReplySink) -> None:
+        """The client's connection must end, and its client have an answer before."""
+        if reply.request:
+            self.abandon(reply.request)
+
+    def on_deadline(self, request: RequestInFlight) -> None:
+        """The client's time limit: what is out ends.
+
+        Also where the client has gone and settings forbid to cancel; the final answer may still be owed.
+        """
+        for attempt in request.attempts:
+            if attempt:
+                attempt.give_up(Outcome.TIMED_OUT)
+        if not request.answered:
+            say("unanswered", logging.ERROR, workload=request.client_request.request_class)
+            self.abandon(request)
+
+    # Final answers.
+
+    def finish(self, number: int, answer: Callable[[ReplySink], None], how: str) -> None:
+        """Give the final answer that the balancer decided on, unless there was one."""
+        request = self.requests.get(number)
+        if request and not request.answered:
+            self.count(how)
+            self.mark_answered(request, how)
+            answer(request.reply)
+            self.requests.settle(request)
+
+    def abandon(self, request: RequestInFlight) -> None:
+        """Give a final answer in the balancer's stead, which then forgets the request."""
+        if not request.answered:
+            request.reply.fail("broken off")
+            self.forget(request, "abandoned")
+
+    def forget(self, request: RequestInFlight, how: str) -> None:
+        """Nothing is owed for it any more, and the balancer did not decide so."""
+        self.count(how)
+        self.mark_answered(request, how)
+        self.dispatch(self.balancer.on_client_disconnect, request.number)
+        self.dispatch(self.settle, request)
+
+    def settle(self, request: RequestInFlight) -> None:
+        """An event of our own: the row goes once the balancer has heard of what came before."""
+        self.requests.settle(request)
+
+    def mark_answered(self, request: RequestInFlight, how: str) -> None:
+        """The final answer is decided."""
+        self.requests.mark_answered(request)
+        if LOG.isEnabledFor(logging.DEBUG):
+            say(
+                "answered",
+                logging.DEBUG,
+                id=request.client_request.id.decode(errors="replace"),
+                how=how,
+                workload=request.client_request.request_class,
+                shots=len(request.attempts),
+            )
+
+    # Attempts.
+
+    def start_attempt(self, request: RequestInFlight, endpoint_index: int, until: float | None) -> None:
+        """Send a request to an endpoint; its one result comes by `on_attempt_result`."""
+        now = self.clock()
+        number = len(request.attempts)
+        request.attempts.append(None)
+        request.attempts_out += 1
+        endpoint = self.endpoints.get(endpoint_index)
+        end = min(request.deadline, until or request.deadline)
+        too_many = number >= self.settings.limits.max_attempts
+        if request.answered or now >= end or too_many or endpoint is None:
+            not_sent = EndpointReply(Outcome.NOT_SENT)
+            self.on_attempt_result(request, number, endpoint_index, now, not_sent)
+            return
+        started = StartedAttempt(self, request, number=number, endpoint=endpoint, started=now, until=end)
+        label = ""
+        if self.upstream.record:
+            label = f"invocation {request.client_request.id.decode(errors='replace')} shot {number}"
+        attempt = self.upstream.send(
+            self.endpoint_key(endpoint),
+            self.registry.names[endpoint_index],
+            started.payload,
+            started.on_result,
+            label=label,
+        )
+        if not attempt.done:
+            request.attempts[number] = attempt
+            if end < request.deadline:
+                attempt.timer = self.loop.call_later(end - now, attempt.give_up, Outcome.TIMED_OUT)
+
+    def may_still_start(self, request: RequestInFlight, attempt: int, now: float) -> bool:
+        """Ask the balancer whether an attempt that had to wait may still be sent."""
+        self.balancer.now = now
+        return self.balancer.may_start(request.number, attempt)
+
+    def on_attempt_result(
+        self, request: RequestInFlight, number: int, endpoint: int, started: float, reply: EndpointReply
     ) -> None:
-        took = self.clock() - sent
-        held.shots[number] = None
-        self.count(ending.value)
-        if ending is Outcome.SUCCESS and value is not None and not held.answered:
-            held.reply.satisfied(value)
-            self.answered(held, "satisfied")
+        """An attempt has ended: a first success is the final answer at once, from the endpoint's buffer."""
+        duration = self.clock() - started
+        request.attempts[number] = None
+        self.count(reply.outcome.value)
+        if reply.outcome is Outcome.SUCCESS and reply.value is not None and not request.answered:
+            request.reply.serve(reply.value)
+            self.mark_answered(request, "satisfied")
         if LOG.isEnabledFor(logging.DEBUG):
-            keys = {"node": self.register.names[node], "workload": held.asked.workload, "took": took}
-            build = self.entries[node].build if node in self.entries else None
-            asked = held.asked.id.decode(errors="replace")
-            say("shot", logging.DEBUG, id=asked, ending=ending.value, build=build, **keys)
-        self.turn(self.tell_ended, held, AttemptResult(number, ending, took, False, report))
-
-    def tell_ended(self, held: RequestInFlight, ended: AttemptResult) -> None:
-        held.out -= 1  # only now: until the marshal is told, the number must not be another's
-        over = AttemptResult(ended.attempt, ended.outcome, ended.duration, held.answered, ended.load_report)
+            self.log_attempt(request, endpoint, reply.outcome, duration)
+        result = AttemptResult(number, reply.outcome, duration, False, reply.load_report)
+        self.dispatch(self.give_result, request, result)
+
+    def log_attempt(self, request: RequestInFlight, endpoint: int, outcome: Outcome, duration: float) -> None:
+        """A line for each attempt, at debug level."""
+        say(
+            "shot",
+            logging.DEBUG,
+            id=request.client_request.id.decode(errors="replace"),
+            ending=outcome.value,
+            build=self.endpoints[endpoint].build if endpoint in self.endpoints else None,
+            node=self.registry.names[endpoint],
+            workload=request.client_request.request_class,
+            took=duration,
+        )
+
+    def give_result(self, request: RequestInFlight, result: AttemptResult) -> None:
+        """An event of our own: the balancer hears of the result as things stand by its turn."""
+        request.attempts_out -= 1  # only now: until the balancer is told, the number must not be another's
+        current = AttemptResult(
+            result.attempt, result.outcome, result.duration, request.answered, result.load_report
+        )
         try:
-            self.marshal.on_attempt_result(held.number, over)
+            self.balancer.on_attempt_result(request.number, current)
         finally:
-            self.settle(held)
-
-    def rolled(self, entries: list[Endpoint], whole: bool) -> None:
-        kept = {} if whole else dict(self.entries)
-        for entry in entries:
-            kept[entry.index] = entry
-        self.entries = {i: entry for i, entry in kept.items() if entry.condition is not Condition.GONE}
-        self.turn(self.marshal.on_endpoint_list, entries, whole)
-        self.nodes.keep({self.key(entry) for entry in self.entries.values()})
-        self.register.keep(self.entries)
-
-    def key(self, entry: Endpoint) -> Key:
-        return entry.index, self.register.addresses[entry.index], entry.build, entry.started
-
-    def told(self, news: ReleaseStatus) -> None:
-        if news.reply is ReplyStatus.ACCEPTED:
-            self.news = news
-        if news.is_vote_reply:
-            self.count(f"vote {news.reply.value}")
-        self.turn(self.marshal.on_release_status, news)
-
-    def roll_failed(self) -> None:
-        self.turn(self.marshal.on_watch_failed)
-
-    def heard(self, peer: int, word: PeerMessage) -> None:
-        self.turn(self.marshal.on_peer_message, peer, word)
-
-    def wake(self, at: float, timer: Timer) -> None:
-        self.lag = max(self.lag, self.clock() - at)
-        self.turn(self.marshal.on_timer, timer)
+            self.settle(request)
+
+    # Events of the control plane, peers and timers.
+
+    def on_endpoint_list(self, endpoints: list[Endpoint], is_complete: bool) -> None:
+        """The endpoint list, or what has changed of it."""
+        current = {} if is_complete else dict(self.endpoints)
+        for endpoint in endpoints:
+            current[endpoint.index] = endpoint
+        self.endpoints = {
+            index: endpoint for index, endpoint in current.items() if endpoint.condition is not Condition.GONE
+        }
+        self.dispatch(self.balancer.on_endpoint_list, endpoints, is_complete)
+        self.upstream.retain({self.endpoint_key(endpoint) for endpoint in self.endpoints.values()})
+        self.registry.retain(self.endpoints)
+
+    def endpoint_key(self, endpoint: Endpoint) -> EndpointKey:
+        """Which process a listed endpoint is."""
+        address = self.registry.addresses[endpoint.index]
+        return EndpointKey(endpoint.index, address, endpoint.build, endpoint.started)
+
+    def on_release_status(self, status: ReleaseStatus) -> None:
+        """The release service's status, or its reply to a vote."""
+        if status.reply is ReplyStatus.ACCEPTED:
+            self.release_status = status
+        if status.is_vote_reply:
+            self.count(f"vote {status.reply.value}")
+        self.dispatch(self.balancer.on_release_status, status)
 
-    def probed(self, node: int, ending: Outcome) -> None:
-        self.turn(self.marshal.on_health_check_result, node, ending)
+    def cap(self, build: int) -> float:
+        """The share of traffic that a build may take: below 1 for the newest before it is released."""
+        status = self.release_status
+        if status and status.build == build and status.phase is not Phase.RELEASED:
+            return status.cap or 0.0
+        return 1.0
+
+    def on_watch_failed(self) -> None:
+        """Discovery does not answer."""
+        self.dispatch(self.balancer.on_watch_failed)
+
+    def on_peer_message(self, peer: int, message: PeerMessage) -> None:
+        """A peer's message."""
+        self.dispatch(self.balancer.on_peer_message, peer, message)
+
+    def on_timer(self, at: float, timer: Timer) -> None:
+        """A timer of the balancer's is due."""
+        self.lag = max(self.lag, self.clock() - at)
+        self.dispatch(self.balancer.on_timer, timer)
 
-    # Acts out.
+    # Actions.
 
-    def carry_out(self, action: Any) -> None:
+    def carry_out(self, action: Action) -> None:
+        """Do what the balancer asks for."""
         match action:
-            case StartAttempt(number, node, until):
-                self.shoot(self.held[number], node, until)
+            case StartAttempt(number, endpoint, until):
+                self.start_attempt(self.requests.rows[number], endpoint, until)
             case StartTimer(at, timer):
-                self.loop.call_later(max(0.0, at - self.clock()), self.wake, at, timer)
-            case CancelAttempt(number, shot):
-                held = self.held.get(number)
-                if held and held.shots[shot]:
-                    held.shots[shot].give_up(Outcome.CANCELLED)
-            case RejectRequest(number, back_in):
-                self.finish(number, lambda reply: reply.rejected(back_in), "rejected")
+                self.loop.call_later(max(0.0, at - self.clock()), self.on_timer, at, timer)
+            case CancelAttempt(number, attempt):
+                self.cancel_attempt(number, attempt)
+            case RejectRequest(number, retry_after):
+                self.finish(number, lambda reply: reply.reject(retry_after), "rejected")
             case FailRequest(number):
-                self.finish(number, lambda reply: reply.broken_off("broken off"), "broken_off")
-            case SendToPeer(peer, word):
-                if self.words:
-                    self.words.tell(peer, word)
+                self.finish(number, lambda reply: reply.fail("broken off"), "broken_off")
+            case SendToPeer(peer, message):
+                self.send_to_peer(peer, message)
             case CastVote():
-                say("vote", build=action.build, stage=action.stage, verdict=action.verdict.log_name)
-                self.desk.vote(action)
-            case CheckHealth(node):
-                self.probe(node)
+                self.cast_vote(action)
+            case CheckHealth(endpoint):
+                self.check_health(endpoint)
             case LogMessage(text):
                 say("note", text=text)
-            case WatchEndpoints():
-                pass  # the roll is followed from the start
-
-    def finish(self, number: int, answer: Callable[[PendingReply], None], how: str) -> None:
-        held = self.held.get(number)
-        if held and not held.answered:
-            self.count(how)
-            self.answered(held, how)
-            answer(held.reply)
-            self.settle(held)
-
-    def answered(self, held: RequestInFlight, how: str) -> None:
-        held.answered = True
-        self.ids.discard(held.asked.id)
-        if LOG.isEnabledFor(logging.DEBUG):
-            keys = {"workload": held.asked.workload, "shots": len(held.shots)}
-            say("answered", logging.DEBUG, id=held.asked.id.decode(errors="replace"), how=how, **keys)
-
-    def settle(self, held: RequestInFlight) -> None:
-        if held.answered and not held.out and self.held.get(held.number) is held:
-            del self.held[held.number]
-            self.free.append(held.number)
-            self.held_bytes -= held.asked.size + ROW
-            held.reply.held = None
-            if held.timer:
-                held.timer.cancel()
-
-    def cap(self, build: int) -> float:
-        news = self.news
-        return news.cap or 0.0 if news and news.build == build and news.phase is not Phase.RELEASED else 1.0
-
-    def shoot(self, held: RequestInFlight, node: int, until: float | None) -> None:
-        now, number = self.clock(), len(held.shots)
-        held.shots.append(None)
-        held.out += 1
-        entry = self.entries.get(node)
-        end = min(held.deadline, until or held.deadline)
-        most = self.settings.limits.max_attempts
-        if held.answered or now >= end or number >= most or entry is None:
-            self.shot_ended(held, number, node, now, Outcome.NOT_SENT, None, None)
-            return
-        cap = self.cap(entry.build)
-
-        def tries() -> bytes | None:
-            """Its bytes, unless it waited for a connection while what it was chosen on fell away."""
-            listed, late = self.entries.get(node), self.clock()
-            fits = listed is entry or (listed and listed.build == entry.build)
-            ready = fits and listed.condition is Condition.READY and self.cap(entry.build) >= cap
-            if not ready or held.answered or late >= end:
-                return None
-            if late > now + AT_ONCE:
-                self.marshal.now = late
-                if not self.marshal.may_start(held.number, number):
-                    return None
-            return held.asked.command(end - late)
-
-        def ended(ending: Outcome, value: memoryview | None, report: Sequence[float] | None) -> None:
-            self.shot_ended(held, number, node, now, ending, value, report)
-
-        mark = ""
-        if self.nodes.record:
-            mark = f"invocation {held.asked.id.decode(errors='replace')} shot {number}"
-        shot = self.nodes.send(self.key(entry), self.register.names[node], tries, ended, mark=mark)
-        if not shot.done:
-            held.shots[number] = shot
-            if end < held.deadline:
-                shot.timer = self.loop.call_later(end - now, shot.give_up, Outcome.TIMED_OUT)
-
-    def probe(self, node: int) -> None:
-        def ended(ending: Outcome, *_: Any) -> None:
-            self.probed(node, ending)
-
-        entry = self.entries.get(node)
-        if entry is None or not self.settings.limits.may_check_health:
-            self.probed(node, Outcome.NO_CONNECTION)
+            # WatchEndpoints asks for nothing: the endpoint list is watched from the start.
+
+    def send_to_peer(self, peer: int | None, message: PeerMessage) -> None:
+        """Send a message to one peer or to all (None), where there are any."""
+        if self.peer_transport:
+            self.peer_transport.send(peer, message)
+
+    def cancel_attempt(self, number: int, attempt_number: int) -> None:
+        """Stop waiting for an attempt, if it is still out."""
+        request = self.requests.get(number)
+        attempt = request.attempts[attempt_number] if request else None
+        if attempt:
+            attempt.give_up(Outcome.CANCELLED)
+
+    def cast_vote(self, vote: CastVote) -> None:
+        """Vote at the release service."""
+        say("vote", build=vote.build, stage=vote.stage, verdict=vote.verdict.log_name)
+        self.release_service.vote(vote)
+
+    def check_health(self, endpoint_index: int) -> None:
+        """Ask an endpoint for a sign of life, where it is listed and the settings allow it."""
+
+        def on_result(reply: EndpointReply) -> None:
+            self.on_health_result(endpoint_index, reply.outcome)
+
+        endpoint = self.endpoints.get(endpoint_index)
+        if endpoint is None or not self.settings.limits.may_check_health:
+            self.on_health_result(endpoint_index, Outcome.NO_CONNECTION)
             return
         self.count("probes")
-        self.nodes.probe(self.key(entry), self.register.names[node], self.patience, ended)
+        name = self.registry.names[endpoint_index]
+        self.upstream.check_health(self.endpoint_key(endpoint), name, self.health_timeout, on_result)
+
+    def on_health_result(self, endpoint_index: int, outcome: Outcome) -> None:
+        """How a health check ended."""
+        self.dispatch(self.balancer.on_health_check_result, endpoint_index, outcome)
 
     def count(self, what: str) -> None:
+        """Count something for the log line on how things stand."""
         self.counts[what] = self.counts.get(what, 0) + 1
--- /dev/null
+++ b/gatebank/proxy/downstream/command.py
@@ -0,0 +1,206 @@
+"""The RESP2 command of a client as a `ClientRequest`. No I/O.
+
+A command is checked against the form that PROTOCOL gives, since an endpoint closes on what it can't use, or
+rejects it, and neither the endpoint nor its build would be at fault.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import NamedTuple
+
+from gatebank.errors import GatebankError
+from gatebank.events import RetrySafety
+from gatebank.proxy import resp
+from gatebank.settings import Settings
+
+# Names that have a meaning here: request class, tenant, deadline, idempotency key, client retry, cost hint.
+KNOWN_NAMES = frozenset(("c", "t", "d", "k", "r", "h"))
+MAX_TIMEOUT_MS = 3_600_000  # beyond an hour nobody waits for an answer
+MAX_NAME_BYTES = 16  # of a command's name that are looked at
+KEY_HASH_BYTES = 6  # of a routing key: what balancer and peers compare
+
+
+class CommandForm(NamedTuple):
+    """A command's name and its number of words."""
+
+    name: bytes
+    words: int
+
+
+FORM_IDEMPOTENT = CommandForm(b"Q.ASK", 4)  # names and values, and no body
+FORM_OTHER = CommandForm(b"Q.DO", 5)
+REQUEST_COMMANDS = (FORM_IDEMPOTENT.name, FORM_OTHER.name)
+
+
+class CommandError(GatebankError):
+    """A command that can't be carried out.
+
+    Attributes:
+        reason: What is wrong, as the client's error line says it.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class RequestClassRef(NamedTuple):
+    """A request class as the balancer knows it."""
+
+    class_index: int
+    retry_safety: RetrySafety
+
+
+def request_classes_by_name(settings: Settings) -> dict[str, RequestClassRef]:
+    """The request classes of the settings, by the name that clients use."""
+    return {
+        request_class.name: RequestClassRef(index, request_class.retry_safety)
+        for index, request_class in enumerate(settings.request_classes)
+    }
+
+
+def tenants_by_name(settings: Settings) -> dict[str, int]:
+    """Indices of the tenants, by the name that clients use."""
+    return {tenant.name: index for index, tenant in enumerate(settings.tenants)}
+
+
+class CommandParts(NamedTuple):
+    """A command as it goes to endpoints, but for the figure of ``d``, which is this instance's."""
+
+    head: bytes
+    before_timeout: bytes
+    after_timeout: bytes
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class ClientRequest:
+    """A request as a client wrote it, copied: it outlives the buffer, as it may need several attempts.
+
+    Attributes:
+        id: The client's own name for it.
+        request_class: Index of the request class.
+        tenant: Index of the tenant; 0 where the settings have none.
+        timeout: Seconds that the client waits.
+        cost_hint: Seconds that the client expects it to take; None if it does not say.
+        key: Hash of the routing key.
+        is_client_retry: The client says that it sent it before.
+        size: Bytes held.
+    """
+
+    id: bytes
+    request_class: int
+    tenant: int
+    timeout: float
+    cost_hint: float | None
+    key: int
+    is_client_retry: bool
+    parts: CommandParts
+    size: int
+
+    def command(self, timeout: float) -> bytes:
+        r"""Encode it for an endpoint that has ``timeout`` seconds for it.
+
+        >>> words = (b"Q.DO", b"k", b"id", b"z=\xff,d=480,c=pay,z=1", b"body")
+        >>> classes = {"pay": RequestClassRef(0, RetrySafety.NON_IDEMPOTENT)}
+        >>> parse_request([memoryview(word) for word in words], classes, {}).command(0.25)[29:]
+        b'$19\r\nz=\xff,d=250,c=pay,z=1\r\n$4\r\nbody\r\n'
+        """
+        head, before, after, body = self.parts
+        names = b"%b%d%b" % (before, max(1, int(timeout * 1000)), after)
+        return b"".join((head, *resp.bulk(names), body))
+
+
+def parse_request(
+    words: Sequence[memoryview], classes: Mapping[str, RequestClassRef], tenants: Mapping[str, int]
+) -> ClientRequest:
+    """Read a request's command.
+
+    Args:
+        words: The command's words, slices that need not outlive this call.
+        classes: Request classes by name.
+        tenants: Indices of tenants by name; empty where the settings have none.
+
+    Raises:
+        CommandError: The command does not have PROTOCOL's form.
+    """
+    if len(words) < 4 or not words[1] or not words[2]:
+        raise CommandError("a command needs a key, an id and names and values")
+    texts = bytes(words[3]).decode("utf-8", "surrogateescape").split(",")  # unknown names pass unchanged
+    pairs = [text.partition("=")[::2] for text in texts]
+    values = dict(pairs)
+    if sum(name in KNOWN_NAMES for name, _ in pairs) > len(KNOWN_NAMES & values.keys()):
+        raise CommandError("a name stands twice")
+    request_class = find_class(words, values, classes, tenants)
+    timeout_ms = parse_figure(values.get("d"))
+    if not timeout_ms or timeout_ms > MAX_TIMEOUT_MS:
+        raise CommandError("d is no time")
+    cost_hint_us = parse_figure(values.get("h"))
+    at = next(index for index, (name, _) in enumerate(pairs) if name == "d")
+    parts = split_at_timeout(words, texts, at)
+    return ClientRequest(
+        id=bytes(words[2]),
+        request_class=request_class.class_index,
+        tenant=tenants.get(values.get("t", ""), 0),
+        timeout=timeout_ms / 1e3,
+        cost_hint=cost_hint_us / 1e6 if cost_hint_us else None,
+        key=int.from_bytes(blake2b(words[1], digest_size=KEY_HASH_BYTES).digest(), "big"),
+        is_client_retry=values.get("r") == "1",
+        parts=parts,
+        size=sum(map(len, parts)),
+    )
+
+
+def find_class(
+    words: Sequence[memoryview],
+    values: Mapping[str, str],
+    classes: Mapping[str, RequestClassRef],
+    tenants: Mapping[str, int],
+) -> RequestClassRef:
+    """The command's request class, if tenant, command and idempotency key fit it."""
+    request_class = classes.get(values.get("c", ""))
+    if request_class is None or "c" not in values:
+        raise CommandError("no such workload")
+    if tenants and values.get("t") not in tenants:
+        raise CommandError("no such tenant")
+    form = FORM_IDEMPOTENT if request_class.retry_safety is RetrySafety.IDEMPOTENT else FORM_OTHER
+    if (command_name(words), len(words)) != form:
+        raise CommandError("this workload takes another command, or a body where there is none")
+    if request_class.retry_safety is RetrySafety.KEYED and not values.get("k"):
+        raise CommandError("a ticketed invocation needs its ticket")
+    return request_class
+
+
+def command_name(words: Sequence[memoryview]) -> bytes:
+    """The command's name, which may be written in small letters."""
+    return bytes(words[0][:MAX_NAME_BYTES]).upper()
+
+
+def split_at_timeout(words: Sequence[memoryview], texts: Sequence[str], at: int) -> CommandParts:
+    """Copy a command round the figure of ``d``, the pair at index ``at``."""
+    before = ",".join([*texts[:at], "d="])
+    after = ",".join(["", *texts[at + 1 :]])
+    return CommandParts(
+        b"*%d\r\n" % len(words) + resp.bulks(words[:3]),
+        before.encode("utf-8", "surrogateescape"),
+        after.encode("utf-8", "surrogateescape"),
+        resp.bulks(words[4:]),
+    )
+
+
+def parse_figure(text: str | None) -> float | None:
+    r"""Plain digits, with a fraction perhaps; None for nothing, zero and all else that a language may take.
+
+    >>> parse_figure("480"), parse_figure("0.5"), parse_figure("0")
+    (480.0, 0.5, None)
+    >>> noise = ("nan", "-1", "1_0", " 1", "1e5", "\u0661", "", None)
+    >>> [text for text in noise if parse_figure(text) is not None]
+    []
+    """
+    whole, _, fraction = (text or "").partition(".")
+    if not (whole + fraction).isascii() or not whole.isdigit() or not (fraction.isdigit() or whole == text):
+        return None
+    return float(text or 0) or None
--- a/gatebank/proxy/resp.py
+++ b/gatebank/proxy/resp.py
@@ -1,26 +1,26 @@
-"""RESP2 without I/O: a buffer that is read into, and the messages found in it as slices.
+r"""RESP2 without I/O: a buffer that is read into, and the messages found in it as slices.
 
 A slice is good until the buffer is next read into; who needs it longer copies it.
 
 >>> inbox = Inbox()
->>> inbox.put(b"*2\\r\\n$4\\r\\nPING\\r\\n$1\\r\\nx\\r\\n*1\\r\\n$4\\r\\nPI")
+>>> inbox.put(b"*2\r\n$4\r\nPING\r\n$1\r\nx\r\n*1\r\n$4\r\nPI")
 >>> [[bytes(word) for word in command] for command in inbox.commands()]
 [[b'PING', b'x']]
->>> inbox.put(b"NG\\r\\n")
+>>> inbox.put(b"NG\r\n")
 >>> [[bytes(word) for word in command] for command in inbox.commands()]
 [[b'PING']]
->>> inbox.put(b"*3\\r\\n$2\\r\\nok\\r\\n$-1\\r\\n$6\\r\\nutil=1\\r\\n-BUSY\\r\\n$")
+>>> inbox.put(b"*3\r\n$2\r\nok\r\n$-1\r\n$6\r\nutil=1\r\n-BUSY\r\n$")
 >>> [(r.mark, [w and bytes(w) for w in r.words]) for r in inbox.replies()]
 [('*', [b'ok', None, b'util=1']), ('-', [b'BUSY'])]
 
 Cut anywhere, it is the same:
 
 >>> found, inbox = [], Inbox()
->>> for byte in b"*2\\r\\n$2\\r\\nok\\r\\n$-1\\r\\n+PONG\\r\\n$4\\r\\n\\r\\n\\r\\n\\r\\n":
+>>> for byte in b"*2\r\n$2\r\nok\r\n$-1\r\n+PONG\r\n$4\r\n\r\n\r\n\r\n":
 ...     inbox.put(bytes([byte]))
 ...     found += [(reply.mark, [word and bytes(word) for word in reply.words]) for reply in inbox.replies()]
 >>> found
-[('*', [b'ok', None]), ('+', [b'PONG']), ('$', [b'\\r\\n\\r\\n'])]
+[('*', [b'ok', None]), ('+', [b'PONG']), ('$', [b'\r\n\r\n'])]
 """
 
 from __future__ import annotations
@@ -28,20 +28,29 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-MOST_VALUE = 64 * 1024  # bytes a value may hold: PROTOCOL; nodes are seen to give more
-MOST_WORDS = 16  # in one message; the protocol's longest has five
-MOST_LINE = 4096  # an error line, or a length
-MOST_LENGTH, MOST_BLANK = 16, 64  # bytes of a line that tells a length, and of blank ones before a command
-FIRST_ROOM, LEAST_ROOM = 4096, 1024  # most messages fit the first; a read wants the second
+from gatebank.errors import GatebankError
 
+MAX_VALUE = 64 * 1024  # bytes a value may hold: PROTOCOL; nodes are seen to give more
+MAX_WORDS = 16  # in one message; the protocol's longest has five
+MAX_LINE = 4096  # an error line, or a length
+MAX_LENGTH_LINE = 16  # bytes of a line that tells a length
+MAX_BLANK = 64  # bytes of blank lines before a command
+INITIAL_ROOM = 4096  # bytes of a buffer; most messages fit
+MIN_ROOM = 1024  # bytes that a read wants
 
-class ProtocolError(Exception):
+
+class ProtocolError(GatebankError):
     """What came is not RESP2, or larger than allowed; the text says what."""
 
 
 @dataclass(slots=True)
 class Reply:
-    """One answer: its first byte, and its words (None: a null)."""
+    """One answer.
+
+    Attributes:
+        mark: Its first byte, which tells its type.
+        words: The strings in it; None for a null.
+    """
 
     mark: str
     words: list[memoryview | None]
@@ -54,52 +63,79 @@
         self.left = size
 
     def take(self, size: int) -> bool:
+        """Take so many bytes, if they are left; who took them gives them back by adding to ``left``."""
         fits = size <= self.left
         self.left -= size if fits else 0
         return fits
 
 
 class Inbox:
-    """One connection's buffer. It grows to what one message may need, within an allowance that many share,
-    and shrinks again when empty; `close` gives back what it took."""
+    """One connection's buffer.
+
+    It grows to what one message may need, within an allowance that many share, and shrinks again when empty;
+    `close` gives back what it took.
+
+    Args:
+        allowance: Bytes that it may grow by; None: as much as one message needs.
+        max_value: Bytes that one value may hold.
+
+    Attributes:
+        data: The buffer; what is not used up yet lies from ``start`` to ``end``.
+        needs: Bytes that the message begun last needs to be whole, as far as they are known.
+    """
 
-    def __init__(self, allowance: Allowance | None = None, most_value: int = MOST_VALUE) -> None:
-        self.most_value, self.most = most_value, most_value + MOST_LINE * 4
-        self.data: bytearray | bytes = bytearray(FIRST_ROOM)
-        self.allowance, self.taken = allowance or Allowance(self.most), 0
-        self.start, self.end = 0, 0
-        self.needs = 0  # bytes that the message begun last needs to be whole, as far as they are known
+    def __init__(self, allowance: Allowance | None = None, max_value: int = MAX_VALUE) -> None:
+        self.max_value = max_value
+        self.max_size = max_value + MAX_LINE * 4
+        self.data: bytearray | bytes = bytearray(INITIAL_ROOM)
+        self.allowance = allowance or Allowance(self.max_size)
+        self.taken = 0  # of the allowance
+        self.start = 0
+        self.end = 0
+        self.needs = 0
 
     @classmethod
-    def over(cls, data: bytes, most_value: int = MOST_VALUE) -> Inbox:
-        """Over bytes that are at hand already and stay as they are: nothing is copied, nothing read into it.
+    def over(cls, data: bytes, max_value: int = MAX_VALUE) -> Inbox:
+        r"""Read bytes that are at hand already and stay as they are: nothing is copied, nothing read into it.
 
-        >>> inbox = Inbox.over(b"*1\\r\\n$9\\r\\nPIN")
+        >>> inbox = Inbox.over(b"*1\r\n$9\r\nPIN")
         >>> list(inbox.commands()), inbox.needs, inbox.words_so_far()
         ([], 19, [])
         """
         self = cls.__new__(cls)
-        self.most_value, self.most = most_value, most_value + MOST_LINE * 4
-        self.data, self.start, self.end, self.needs, self.taken = data, 0, len(data), 0, 0
+        self.max_value = max_value
+        self.max_size = max_value + MAX_LINE * 4
+        self.data = data
+        self.start = 0
+        self.end = len(data)
+        self.needs = 0
+        self.taken = 0
         return self
 
     def close(self) -> None:
+        """Give back what was taken of the allowance."""
         self.allowance.left += self.taken
         self.taken = 0
 
     def room(self) -> memoryview:
-        """Where the next read goes; ends the life of all slices given out."""
+        """Where the next read goes; ends the life of all slices given out.
+
+        Raises:
+            ProtocolError: A message does not fit what is allowed.
+        """
+        assert isinstance(self.data, bytearray), "nothing is read into an inbox over bytes"
         held = self.held
-        if not held and len(self.data) > FIRST_ROOM:
-            self.data = bytearray(FIRST_ROOM)
+        if not held and len(self.data) > INITIAL_ROOM:
+            self.data = bytearray(INITIAL_ROOM)
             self.close()
         elif self.start:
             self.data[:held] = self.data[self.start : self.end]
-        self.start, self.end = 0, held
-        if len(self.data) - held < LEAST_ROOM:
-            if held >= self.most:
+        self.start = 0
+        self.end = held
+        if len(self.data) - held < MIN_ROOM:
+            if held >= self.max_size:
                 raise ProtocolError("a message is too long")
-            more = min(held, self.most - held) + LEAST_ROOM - (len(self.data) - held)
+            more = min(held, self.max_size - held) + MIN_ROOM - (len(self.data) - held)
             if not self.allowance.take(more):
                 raise ProtocolError("no room for a message so long")
             self.taken += more
@@ -107,6 +143,7 @@
         return memoryview(self.data)[held:]
 
     def filled(self, size: int) -> None:
+        """Count bytes that were read into `room`."""
         self.end += size
 
     @property
@@ -115,7 +152,7 @@
         return self.end - self.start
 
     def put(self, data: bytes) -> None:
-        """As if read: for whoever has the bytes already."""
+        """Copy bytes in, as if they were read."""
         while data:
             room = self.room()
             size = min(len(room), len(data))
@@ -123,31 +160,32 @@
             self.filled(size)
             data = data[size:]
 
-    def line(self, at: int, most: int = MOST_LINE) -> tuple[int, int] | None:
-        """Where the line from ``at`` ends, and where the next begins."""
+    def line(self, at: int, max_length: int = MAX_LINE) -> tuple[int, int] | None:
+        """Where the line from ``at`` ends, and where the next begins; None if it is not whole."""
         found = self.data.find(b"\r\n", at, self.end)
         if found < 0:
-            if self.end - at > most:
+            if self.end - at > max_length:
                 raise ProtocolError("a line is too long")
             return None
         return found, found + 2
 
-    def size(self, at: int, least: int, most: int) -> tuple[int, int] | None:
-        """The number in the line behind ``at``, and where the next line begins."""
-        if not (line := self.line(at + 1, MOST_LENGTH)):
+    def size(self, at: int, minimum: int, maximum: int) -> tuple[int, int] | None:
+        """The number in the line behind ``at``, and where the next line begins; None if it is not whole."""
+        if not (line := self.line(at + 1, MAX_LENGTH_LINE)):
             return None
         text = bytes(self.data[at + 1 : line[0]])
         digits = text[1:] if text[:1] == b"-" else text
-        if not digits.isdigit() or len(digits) > 9 or not least <= int(text) <= most:
+        if not digits.isdigit() or len(digits) > 9 or not minimum <= int(text) <= maximum:
             raise ProtocolError("a length is senseless")
         return int(text), line[1]
 
-    def bulk(self, at: int, least: int) -> tuple[memoryview | None, int] | None:
+    def bulk(self, at: int, min_length: int) -> tuple[memoryview | None, int] | None:
+        """The bulk string at ``at``, and where the next begins; None if it is not whole."""
         if at >= self.end:
             return None
         if self.data[at] != 0x24:  # $
             raise ProtocolError("no bulk string where one belongs")
-        if not (found := self.size(at, least, self.most_value)):
+        if not (found := self.size(at, min_length, self.max_value)):
             return None
         size, begin = found
         if size < 0:
@@ -159,22 +197,23 @@
             raise ProtocolError("a bulk string does not end where it says")
         return memoryview(self.data)[begin : begin + size], begin + size + 2
 
-    def array(self, least: int) -> tuple[list[memoryview | None], int] | None:
-        if not (found := self.size(self.start, 0, MOST_WORDS)):
+    def array(self, min_length: int) -> tuple[list[memoryview | None], int] | None:
+        """The array at the start, and where the next message begins; None if it is not whole."""
+        if not (found := self.size(self.start, 0, MAX_WORDS)):
             return None
         count, at = found
         words: list[memoryview | None] = []
         for _ in range(count):
-            if not (bulk := self.bulk(at, least)):
+            if not (bulk := self.bulk(at, min_length)):
                 return None
             words.append(bulk[0])
             at = bulk[1]
         return words, at
 
     def words_so_far(self) -> list[bytes]:
-        """The whole words of a command that is not."""
+        """The whole words of a command that is not whole."""
         found: list[bytes] = []
-        if self.held and (count := self.size(self.start, 0, MOST_WORDS)):
+        if self.held and (count := self.size(self.start, 0, MAX_WORDS)):
             at = count[1]
             try:
                 while len(found) < count[0] and (bulk := self.bulk(at, 0)):
@@ -189,8 +228,9 @@
         blank = 0
         while self.start < self.end:
             if self.data[self.start] in b"\r\n":
-                self.start, blank = self.start + 1, blank + 1
-                if blank > MOST_BLANK:
+                self.start += 1
+                blank += 1
+                if blank > MAX_BLANK:
                     raise ProtocolError("nothing but blank lines")
                 continue
             if self.data[self.start] != 0x2A:  # *
@@ -200,9 +240,10 @@
             words, self.start = found
             if words:
                 blank = 0
-                yield words  # type: ignore[misc]  # no nulls: the least length is 0
+                yield words  # type: ignore[misc]  # no nulls: the minimum length is 0
 
     def replies(self) -> Iterator[Reply]:
+        """The whole answers read so far."""
         while self.start < self.end:
             mark = chr(self.data[self.start])
             if mark == "*":
@@ -224,16 +265,19 @@
 
 
 def command(words: Sequence[bytes | memoryview]) -> bytes:
-    """
+    r"""Encode a command.
+
     >>> command([b"PING"])
-    b'*1\\r\\n$4\\r\\nPING\\r\\n'
+    b'*1\r\n$4\r\nPING\r\n'
     """
     return b"*%d\r\n" % len(words) + bulks(words)
 
 
 def bulks(words: Sequence[bytes | memoryview]) -> bytes:
+    """Encode bulk strings, one behind the other."""
     return b"".join(part for word in words for part in bulk(word))
 
 
 def bulk(value: bytes | memoryview) -> tuple[bytes, bytes | memoryview, bytes]:
+    """Encode a bulk string in parts, so that its value is not copied."""
     return b"$%d\r\n" % len(value), value, b"\r\n"
--- a/gatebank/proxy/sockets.py
+++ b/gatebank/proxy/sockets.py
@@ -13,20 +13,29 @@
 from gatebank.proxy.configuration import Address
 
 
-class Tape(Protocol):
-    """Who hears of a connection, where it is recorded: side 0 opened it and asks, side 1 replies."""
+class ConnectionTape(Protocol):
+    """Who hears of a connection that is recorded: side 0 opened it and asks, side 1 replies."""
 
-    def asked(self, data: bytes, comment: str = "") -> None: ...
-    def replied(self, data: bytes, comment: str = "") -> None: ...
-    def ended(self, side: int, abrupt: bool = False, comment: str = "") -> None: ...
+    def asked(self, data: bytes, comment: str = "") -> None:
+        """Bytes of side 0."""
 
+    def replied(self, data: bytes, comment: str = "") -> None:
+        """Bytes of side 1."""
 
-Record = Callable[[socket.socket], Tape | None]  # makes the tape of a connection that has come up
+    def ended(self, side: int, abrupt: bool = False, comment: str = "") -> None:
+        """The connection ended, by this side."""
 
 
-def opened(where: Address, kind: int = socket.SOCK_STREAM) -> socket.socket:
-    """A socket of the address's family that blocks nobody and, for a stream, holds no small message back."""
-    family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+Record = Callable[[socket.socket], ConnectionTape | None]  # makes the tape of a connection that has come up
+
+
+def opened(address: Address, kind: int = socket.SOCK_STREAM) -> socket.socket:
+    """Open a socket that blocks nobody and, for a stream, holds no small message back.
+
+    Raises:
+        OSError: No descriptor is left, or the address family is unknown here.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     sock = socket.socket(family, kind | socket.SOCK_NONBLOCK)
     if kind == socket.SOCK_STREAM:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -34,7 +43,7 @@
 
 
 def give_back(sock: socket.socket, *tasks: asyncio.Task[None] | None) -> None:
-    """End who reads and writes, but the caller itself, and only then close."""
+    """Cancel the tasks that read and write, but the caller itself, and only then close the socket."""
     for task in tasks:
         if task and task is not asyncio.current_task():
             task.cancel()
@@ -42,9 +51,12 @@
 
 
 class Pending:
-    """An operation on a socket that a task waits for. The loop ends it as the socket becomes ready, but the
-    task goes on only later, and what runs in between finds nothing in the kernel any more: a read may have
-    brought a whole command, an accept a connection. ``done`` tells so. One at a time."""
+    """An operation on a socket that a task waits for, one at a time.
+
+    The loop ends it as the socket becomes ready, but the task goes on only later, and what runs in between
+    finds nothing in the kernel any more: a read may have brought a whole command, an accept a connection.
+    ``done`` tells so.
+    """
 
     __slots__ = ("future",)
 
@@ -58,15 +70,15 @@
 
     @coroutine
     def of(self, operation: Coroutine[Any, Any, Any]) -> Generator[Any, Any, Any]:
-        """Await it: what it waits for is handed on, and kept in sight."""
+        """Await the operation: what it waits for is handed on, and kept in sight."""
         steps = operation.__await__()
         try:
             self.future = steps.send(None)
             while True:
                 try:
                     found = yield self.future
-                except BaseException as trouble:
-                    self.future = steps.throw(trouble)
+                except BaseException as error:  # a cancellation too is the operation's to handle
+                    self.future = steps.throw(error)
                 else:
                     self.future = steps.send(found)
         except StopIteration as ended:
@@ -75,28 +87,37 @@
             self.future = None
 
 
-class Turn:
-    """Who is followed at one address. What that address has written to this marshal counts as told
-    (PROTOCOL), so a turn ends only with the first word of the next: until then it goes on, and ends by itself
-    as its connection does."""
+class WatchTurn:
+    """Who watches one address of a control plane service.
 
-    __slots__ = ("before", "over", "task")
+    What that address has written to this instance counts as received (PROTOCOL), so a turn ends only with the
+    first message of the next: until then it goes on, and ends by itself as its connection does.
 
-    def __init__(self, before: Turn | None = None) -> None:
-        while before and before.task and before.task.done():
-            before = before.before
-        self.before, self.over = before, False  # over: the next has been begun
+    Attributes:
+        over: The next turn has begun: this one lasts only as long as its connection.
+    """
+
+    __slots__ = ("over", "previous", "task")
+
+    previous: WatchTurn | None
+
+    def __init__(self, previous: WatchTurn | None = None) -> None:
+        while previous and previous.task and previous.task.done():
+            previous = previous.previous
+        self.previous = previous
+        self.over = False
         self.task: asyncio.Future[None] | None = None
-        if before:
-            before.over = True
+        if previous:
+            previous.over = True
 
     def begins(self) -> None:
-        """The first word has come from here: those before have had their turn."""
-        if self.before:
-            self.before.close()
-        self.before = None
+        """The first message has come from here: the turns before are over for good."""
+        if self.previous:
+            self.previous.close()
+        self.previous = None
 
     def close(self) -> None:
+        """End this turn and those before."""
         if self.task:
             self.task.cancel()
         self.begins()
@@ -104,17 +125,19 @@
 
 def hung_up(sock: socket.socket) -> bool:
     """The other side has ended its sending or the connection is broken, whatever lies unread before that."""
-    look = select.poll()
-    look.register(sock, select.POLLRDHUP)
-    return bool(look.poll(0))
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 SIOCOUTQNSD = 0x894B  # linux/sockios.h: bytes in the send queue that have not been sent, in an int
 
 
 def unsent(sock: socket.socket) -> bool:
-    """Bytes written to it wait here, as the other side has no room for them. A close forgets them as soon as
-    one byte comes that nobody reads. Where the system does not tell, none are."""
+    """Bytes written to it wait here, as the other side has no room for them.
+
+    A close forgets them as soon as one byte comes that nobody reads. Where the system does not say, none are.
+    """
     try:
         return any(ioctl(sock, SIOCOUTQNSD, bytes(4)))
     except OSError:
@@ -122,7 +145,7 @@
 
 
 def waiting(sock: socket.socket) -> int:
-    """1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
+    """Look without reading: 1 if bytes wait to be read, 0 if none, -1 if the connection has ended."""
     try:
         return 1 if sock.recv(1, socket.MSG_PEEK) else -1
     except BlockingIOError:
--- /dev/null
+++ b/gatebank/proxy/stream.py
@@ -0,0 +1,75 @@
+"""What a connection to a client and one to an endpoint do alike.
+
+A `Stream` owns a socket, its receive buffer and the two tasks that read and write. How a connection writes
+differs between the two sides and stays with them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from gatebank.proxy import resp
+from gatebank.proxy.sockets import ConnectionTape, Pending, give_back, waiting
+
+
+class Stream:
+    """One TCP connection with a receive buffer; `release` gives back all that it owns.
+
+    Attributes:
+        handling: A read has ended, and not all that it brought is used up yet.
+        closed: Nothing is read or written any more.
+        tape: Who records the connection; None if nobody does.
+        reader: The task that reads, begun by the subclass as the last thing of its making.
+        writer: The task that writes what the system did not take at once.
+    """
+
+    reader: asyncio.Task[None]
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        inbox: resp.Inbox,
+        tape: ConnectionTape | None,
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.inbox = inbox
+        self.tape = tape
+        self.reading = Pending()
+        self.handling = False
+        self.closed = False
+        self.writer: asyncio.Task[None] | None = None
+
+    def has_unread(self) -> bool:
+        """Tell whether bytes or an end of the connection wait that nobody has seen yet.
+
+        They may be in the kernel, in a read that ended before its task went on, or in the buffer.
+        """
+        return self.is_being_read() or waiting(self.sock) != 0
+
+    def is_being_read(self) -> bool:
+        """Tell whether a read has ended whose bytes are not used up yet."""
+        return self.handling or self.reading.done
+
+    def received(self, size: int) -> bytes | None:
+        """Account for a read of ``size`` bytes; returns a copy of them where the connection is recorded."""
+        self.handling = True
+        self.inbox.filled(size)
+        if self.tape is None:
+            return None
+        return bytes(self.inbox.data[self.inbox.end - size : self.inbox.end])
+
+    def release(self, peer_side: int, comment: str = "") -> None:
+        """Give back buffer memory, tasks and socket.
+
+        Args:
+            peer_side: The other end's side in a recording: 0 opened the connection, 1 accepted it.
+            comment: For the recording.
+        """
+        self.inbox.close()
+        if self.tape:
+            ended_by_peer = waiting(self.sock) < 0
+            self.tape.ended(peer_side if ended_by_peer else 1 - peer_side, comment=comment)
+        give_back(self.sock, self.reader, self.writer)
--- /dev/null
+++ b/gatebank/proxy/upstream/__init__.py
@@ -0,0 +1,12 @@
+"""Upstream: connections to endpoints, the attempts and health checks on them.
+
+`Upstream` owns a `ConnectionPool` for each endpoint process; a pool owns its connections. Nothing is ever
+sent again here: each retry is a decision of the balancer.
+"""
+
+from gatebank.proxy.upstream.attempt import Attempt, EndpointKey, EndpointReply
+from gatebank.proxy.upstream.connection import EndpointConnection
+from gatebank.proxy.upstream.pool import ConnectionPool
+from gatebank.proxy.upstream.pools import Upstream
+
+__all__ = ["Attempt", "ConnectionPool", "EndpointConnection", "EndpointKey", "EndpointReply", "Upstream"]
--- /dev/null
+++ b/gatebank/proxy/upstream/connection.py
@@ -0,0 +1,194 @@
+"""A connection to an endpoint.
+
+One attempt is out on a connection at a time; behind another one is written only when descriptors are short.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+
+from gatebank.events import Outcome
+from gatebank.proxy import resp
+from gatebank.proxy.log import say
+from gatebank.proxy.sockets import waiting
+from gatebank.proxy.stream import Stream
+from gatebank.proxy.upstream.attempt import Attempt, EndpointReply
+from gatebank.proxy.upstream.replies import parse_attempt_reply, parse_health_reply
+
+if TYPE_CHECKING:
+    from gatebank.proxy.upstream.pool import ConnectionPool
+
+ENDPOINT_SIDE = 1  # of a recorded connection: we opened it
+# An endpoint writes an answer in one go: where its next part does not come for so many times the time that a
+# connection may take to come up, it is spoilt.
+ANSWER_SILENCE_FACTOR = 2
+
+
+class EndpointConnection(Stream):
+    """A connection to one process of an endpoint; the pool that made it keeps it until `close`."""
+
+    def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
+        upstream = pool.upstream
+        tape = upstream.record(sock) if upstream.record else None
+        super().__init__(upstream.loop, sock, resp.Inbox(upstream.buffer_budget, upstream.max_value), tape)
+        self.pool = pool
+        self.attempts: deque[Attempt] = deque()  # in the order written; emptied by replies, or by `close`
+        self.idle_since = time.monotonic()
+        self.rests_until = 0.0  # it has answered, and may do so twice
+        self.abandoned = ""  # for the tape: which attempt was given up, and why
+        self.reader = asyncio.ensure_future(self.read())
+
+    def write(self, attempt: Attempt) -> bool:
+        """Write an attempt's bytes now; False if it is no longer wanted, and then nothing was done."""
+        data = attempt.payload()
+        if data is None:
+            attempt.finish(EndpointReply(Outcome.NOT_SENT))
+            return False
+        self.attempts.append(attempt)
+        attempt.connection = self
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return True
+        attempt.written = sent == len(data)
+        if self.tape:
+            self.tape.asked(data[:sent], attempt.label)
+        if not attempt.written:
+            self.writer = asyncio.ensure_future(self.write_rest(attempt, data[sent:]))
+        return True
+
+    async def write_rest(self, attempt: Attempt, rest: bytes) -> None:
+        """Write what the system did not take at once, the last byte by itself.
+
+        The last byte decides whether the attempt is out. It may be from just before its write on: the loop
+        may have written it, and the connection break, before this task goes on.
+        """
+        try:
+            if len(rest) > 1:
+                await self.loop.sock_sendall(self.sock, rest[:-1])
+            attempt.written = True
+            await self.loop.sock_sendall(self.sock, rest[-1:])
+            if self.tape:
+                self.tape.asked(rest)
+            self.writer = None
+        except OSError:
+            self.close()
+
+    async def read(self) -> None:
+        """Read replies until the connection ends, breaks, or says what no reply looks like."""
+        try:
+            while not self.closed:
+                size = await self.receive()
+                if not size:
+                    break
+                recorded = self.received(size)
+                if self.tape and recorded is not None:
+                    self.tape.replied(recorded)
+                self.handle_replies()
+                if not self.attempts and not self.closed:
+                    if self.ended_behind_answer():
+                        break
+                    self.handling = False
+                    self.pool.rest(self)
+                self.handling = False
+        except resp.ProtocolError as error:
+            idle = {} if self.attempts else {"idle": time.monotonic() - self.idle_since}
+            say("node_broken", logging.WARNING, node=self.pool.name, why=error, **idle)
+        except OSError:
+            pass
+        finally:
+            self.close()
+
+    async def receive(self) -> int:
+        """Read on; returns the bytes read, 0 at the end.
+
+        Where the rest of an answer does not come in time the connection is closed, so that its attempt need
+        not wait out its time limit. No read is given up for that: one that ended as the time did would leave
+        a hole in the answer.
+        """
+        room = self.inbox.room()
+        timer = None
+        if self.inbox.held:
+            patience = ANSWER_SILENCE_FACTOR * self.pool.upstream.connect_timeout
+            timer = self.loop.call_later(patience, self.on_answer_silent)
+        try:
+            size: int = await self.reading.of(self.loop.sock_recv_into(self.sock, room))
+            return size
+        finally:
+            if timer:
+                timer.cancel()
+
+    def on_answer_silent(self) -> None:
+        """Close on an answer that stopped half way."""
+        if not self.closed and not self.has_unread():  # else it has come, and this process was late
+            say("node_broken", logging.WARNING, node=self.pool.name, why="an answer stopped half way")
+            self.close()
+
+    def handle_replies(self) -> None:
+        """Give each whole reply to the attempt whose turn it is."""
+        for reply in self.inbox.replies():
+            if not self.attempts or not self.attempts[0].written:
+                raise resp.ProtocolError("it answered what was not asked")
+            attempt = self.attempts[0]
+            if attempt.is_health_check:
+                result = parse_health_reply(reply)
+            else:
+                result = parse_attempt_reply(reply, self.pool.upstream.report_fields)
+            self.attempts.popleft()
+            attempt.finish(result)
+
+    def ended_behind_answer(self) -> bool:
+        """Tell whether the connection has ended, with all that came used up.
+
+        What lies behind an answer must not meet the next attempt, whose client would be served with another's
+        value.
+
+        Raises:
+            resp.ProtocolError: More came than one answer.
+        """
+        behind = waiting(self.sock)
+        if behind < 0:
+            return True
+        if self.inbox.held or behind:
+            raise resp.ProtocolError("more came than one answer")
+        return False
+
+    def can_share(self, max_attempts: int) -> bool:
+        """Tell whether one more attempt may be written behind what is out.
+
+        Not while a read is being used up: what lies behind an answer would be taken for the new attempt's.
+        """
+        busy = self.writer or self.is_being_read()
+        return not busy and len(self.attempts) < max_attempts
+
+    def abandon(self, attempt: Attempt, outcome: Outcome) -> None:
+        """No answer to this attempt is wanted any more: close, unless others are out on the connection."""
+        if self.tape and attempt.label:
+            self.abandoned = f"{attempt.label} {outcome.value}"
+        if all(other.done or other is attempt for other in self.attempts):
+            self.attempts.clear()
+            self.close()
+        elif not attempt.written:  # its rest would go out behind its final answer: the others are cut instead
+            self.attempts.remove(attempt)
+            self.close()
+        # else others are out on it: what comes for this one is passed over
+
+    def close(self) -> None:
+        """Give everything back; what was out has lost its connection, or was never sent whole."""
+        if self.closed:
+            return
+        self.closed = True
+        self.pool.drop(self)
+        self.release(ENDPOINT_SIDE, self.abandoned)
+        while self.attempts:
+            attempt = self.attempts.popleft()
+            outcome = Outcome.CONNECTION_LOST if attempt.written else Outcome.NO_CONNECTION
+            attempt.finish(EndpointReply(outcome))
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -11,14 +11,19 @@
 from collections.abc import Collection
 
 from gatebank.events import Endpoint
+from gatebank.proxy.clock import Clock
 from gatebank.proxy.configuration import Configuration
+from gatebank.proxy.control_plane import ControlPlaneWatches, read_initial_knowledge
 from gatebank.proxy.discovery import EndpointRegistry
-from gatebank.proxy.dispatcher import Clock, Dispatcher, RequestInFlight
-from gatebank.proxy.downstream import ClientRequest, CommandError
+from gatebank.proxy.dispatcher import Dispatcher
+from gatebank.proxy.downstream import CommandError, parse_request
+from gatebank.proxy.downstream.command import request_classes_by_name, tenants_by_name
 from gatebank.proxy.log import say
 from gatebank.proxy.release_service import ReleaseService
-from gatebank.proxy.service import ALSO, ControlPlaneWatches, at_start, kept
-from gatebank.proxy.upstream import Nodes
+from gatebank.proxy.requests import RequestInFlight
+from gatebank.proxy.service import RESERVED_DESCRIPTORS
+from gatebank.proxy.supervisor import run_forever
+from gatebank.proxy.upstream import Upstream
 from gatebank.replay.guard import written
 from gatebank.replay.player import Play, Player
 
@@ -28,19 +33,19 @@
 class Place:
     """Stands where a customer's slot does: takes the one final answer."""
 
-    __slots__ = ("front", "held", "play")
+    __slots__ = ("front", "play", "request")
 
     def __init__(self, front: Inside, play: Play) -> None:
         self.front, self.play = front, play
-        self.held: RequestInFlight | None = None
+        self.request: RequestInFlight | None = None
 
-    def satisfied(self, value: memoryview) -> None:
+    def serve(self, value: memoryview) -> None:
         self.front.answered(self.play, "satisfied")
 
-    def rejected(self, back_in: float | None) -> None:
-        self.front.answered(self.play, "rejected", back_in)
+    def reject(self, retry_after: float | None) -> None:
+        self.front.answered(self.play, "rejected", retry_after)
 
-    def broken_off(self, why: str) -> None:
+    def fail(self, reason: str) -> None:
         self.front.answered(self.play, "broken_off")
 
 
@@ -50,15 +55,15 @@
     live: Collection[str] = ()
     left_out = 0
 
-    def rolled(self, entries: list[Endpoint], whole: bool) -> None:
+    def on_endpoint_list(self, endpoints: list[Endpoint], is_complete: bool) -> None:
         def serves(entry: Endpoint) -> bool:
-            return written(self.register.addresses[entry.index]) in self.live
+            return written(self.registry.addresses[entry.index]) in self.live
 
-        fit = [entry for entry in entries if not serves(entry)]
-        if len(fit) < len(entries):
-            self.left_out += len(entries) - len(fit)
-            say("live_nodes_left_out", nodes=len(entries) - len(fit))
-        super().rolled(fit, whole)
+        fit = [entry for entry in endpoints if not serves(entry)]
+        if len(fit) < len(endpoints):
+            self.left_out += len(endpoints) - len(fit)
+            say("live_nodes_left_out", nodes=len(endpoints) - len(fit))
+        super().on_endpoint_list(fit, is_complete)
 
 
 class Inside:
@@ -73,23 +78,25 @@
             settings, posting.seed, clock, register, posting.bounds.commands
         )
         exchange.live = live
-        self.nodes = exchange.nodes = Nodes(
-            settings, (posting.descriptors - ALSO) // 2, posting.bounds.buffers
+        self.nodes = exchange.upstream = Upstream(
+            settings, (posting.descriptors - RESERVED_DESCRIPTORS) // 2, posting.bounds.buffers
         )
-        self.workloads = {
-            each.name: (i, each.retry_safety) for i, each in enumerate(settings.request_classes)
-        }
-        self.customers = {each.name: i for i, each in enumerate(settings.tenants)}
-        kinds = {name: index for name, (index, _) in self.workloads.items()}
+        self.workloads = request_classes_by_name(settings)
+        self.customers = tenants_by_name(settings)
         patience = settings.release.vote_timeout
-        self.desk = exchange.desk = ReleaseService(
-            posting.desk, register, patience, clock, exchange.told, kinds
+        self.desk = exchange.release_service = ReleaseService(
+            posting.release_service,
+            register,
+            patience,
+            clock,
+            exchange.on_release_status,
+            request_classes=self.workloads,
         )
-        known, version, news = at_start(posting, register)
+        known, version, news = read_initial_knowledge(posting, register)
         exchange.start(known, news)
         self.following = ControlPlaneWatches(exchange, register, self.desk)
         self.following.move(posting, version)
-        self.sweeper = asyncio.ensure_future(kept("sweep", self.sweep))
+        self.sweeper = asyncio.ensure_future(run_forever("sweep", self.sweep))
 
     async def sweep(self) -> None:
         while True:
@@ -100,14 +107,14 @@
         """Once it knows a node that it may send to."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(patience):
-                while not self.exchange.entries:
+                while not self.exchange.endpoints:
                     await asyncio.sleep(0.01)
-        return bool(self.exchange.entries)
+        return bool(self.exchange.endpoints)
 
     def send(self, play: Play) -> None:
         place = Place(self, play)
         try:
-            asked = ClientRequest([memoryview(word) for word in play.words], self.workloads, self.customers)
+            asked = parse_request([memoryview(word) for word in play.words], self.workloads, self.customers)
         except CommandError as trouble:
             self.player.report.counts["senseless"] += 1
             say("senseless", why=trouble)
@@ -115,7 +122,7 @@
             return
         self.places[play] = place
         try:
-            self.exchange.invoked(asked, place)  # type: ignore[arg-type]
+            self.exchange.start_request(asked, place)
         except CommandError:  # the id is in hand, which ours never are
             self.places.pop(play, None)
             self.player.ended(play, "never_sent")
@@ -127,8 +134,8 @@
     def give_up(self, play: Play) -> None:
         """As a customer that closes its connection."""
         place = self.places.pop(play, None)
-        if place and place.held and not place.held.answered:
-            self.exchange.forget(place.held, "left")
+        if place and place.request and not place.request.answered:
+            self.exchange.forget(place.request, "left")
 
     def close(self) -> None:
         self.sweeper.cancel()
--- a/gatebank/replay/section.py
+++ b/gatebank/replay/section.py
@@ -31,7 +31,7 @@
         try:
             address(self.address, "address")
         except ConfigurationError as trouble:
-            yield "address", str(trouble).rpartition(": ")[2]
+            yield "address", trouble.reason
         if self.keeps_tickets and not self.rehearsal:
             yield "keeps_tickets", "only a rehearsal target gets ticketed invocations: rehearsal is not set"
         if self.rehearsal and self.live_rerunnable:
--- a/gatebank/state_transfer/section.py
+++ b/gatebank/state_transfer/section.py
@@ -55,7 +55,7 @@
                 try:
                     host, _ = address(each, name)
                 except ConfigurationError as trouble:
-                    yield name, str(trouble).rpartition(": ")[2]
+                    yield name, trouble.reason
                     continue
                 if self.plain and not ip_address(host).is_loopback:
                     yield "plain", f"{each} is no loopback address: only there a link goes without TLS"
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -113,8 +113,8 @@
     ) -> None:
         self.orders, self.exchange, self.name = orders, exchange, name
         self.loop, self.clock = asyncio.get_running_loop(), exchange.clock
-        self.marshal = exchange.marshal
-        self.names = Names(exchange.settings, exchange.register.names)
+        self.marshal = exchange.balancer
+        self.names = Names(exchange.settings, exchange.registry.names)
         lives = HalfLives(
             orders.half_life_well, orders.half_life_sick, orders.half_life_slow, orders.half_life_times,
             orders.half_life_past, orders.half_life_sums,
@@ -223,14 +223,14 @@
         if self.given:
             lore = replace(lore, sent=(), accepted=(), window_known=False)
         self.given = self.given or lore.window_known
-        self.exchange.turn(self.marshal.apply_inherited_state, lore)
+        self.exchange.dispatch(self.marshal.apply_inherited_state, lore)
         news = self.marshal.news
         own = None
         if news and news.build is not None and news.phase is not None:
             own = news.build, int(news.phase), news.cap
         if restrains := only_down(belief.news, own):
             say("learnt_news", logging.WARNING, build=restrains.build, phase=restrains.phase, by=restrains.by)
-            self.exchange.told(as_news(restrains))
+            self.exchange.on_release_status(as_news(restrains))
 
     def begun(self, acts: list[Connect]) -> None:
         for act in acts:
