--- /dev/null
+++ b/gatebank/proxy/log_events.py
@@ -0,0 +1,68 @@
+"""The catalogue of log events: each event's name and its keys, defined once.
+
+On-call tools and docs/oncall.md know them by these names; tests/test_log_events.py compares the catalogue
+with the page and with what the source logs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class LogEvent:
+    """One event.
+
+    Attributes:
+        name: As it stands behind ``event=``.
+        keys: All that may stand in its line, in their order.
+        more_keys: The line has further keys, counts by what happened.
+        debug_only: It is logged at debug level alone.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    more_keys: bool = False
+    debug_only: bool = False
+
+
+STANDING_KEYS = (
+    "in_hand", "clients", "clients_unread", "clients_peak", "node_connections", "node_connections_peak",
+    "memory_mb", "lag", "node_connections_opened", "words_told", "words_heard", "words_dropped",
+)  # fmt: skip
+
+EVENTS = (
+    LogEvent("ready", ("name", "nodes")),
+    LogEvent("standing", STANDING_KEYS, more_keys=True),
+    LogEvent("leaving", ("in_hand",)),
+    LogEvent("gone", ("in_hand",)),
+    # The control plane.
+    LogEvent("roll", ("version", "whole", "entries")),
+    LogEvent("roll_lost", ("why",)),
+    LogEvent("roll_back", ("version",)),
+    LogEvent("stage", ("build", "stage", "phase", "cap", "age")),
+    LogEvent("vote", ("build", "stage", "verdict")),
+    LogEvent("vote_answer", ("build", "verdict", "heard")),
+    LogEvent("vote_lost", ("why", "arrived")),
+    LogEvent("vote_refused", ("status", "code")),
+    LogEvent("desk_lost", ("why",)),
+    LogEvent("desk_back"),
+    LogEvent("desk_overtaken", ("build", "stage")),
+    LogEvent("desk_unread", ("why",)),
+    LogEvent("desk_unknown", ("name",)),
+    LogEvent("reloaded", ("discovery", "desk")),
+    LogEvent("reload_failed", ("why",)),
+    # Connections and requests.
+    LogEvent("node_broken", ("node", "why", "idle")),
+    LogEvent("no_descriptor", ("open",)),
+    LogEvent("client_broken", ("why", "so_far")),
+    LogEvent("client_cut", ("why", "owed")),
+    LogEvent("accept_failed", ("why",)),
+    LogEvent("unanswered", ("workload",)),
+    LogEvent("shot", ("id", "ending", "build", "node", "workload", "took"), debug_only=True),
+    LogEvent("answered", ("id", "how", "workload", "shots"), debug_only=True),
+    # The program itself.
+    LogEvent("note", ("text",)),
+    LogEvent("fault", ("in", "act", "trouble", "place")),
+    LogEvent("log_dropped", ("lines",)),
+)
