--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -1,6 +1,6 @@
 """Where alone downstream and upstream meet: owns the balancer and the requests in flight.
 
-Every event goes through `Dispatcher.dispatch`: the balancer's clock is set, its method called and its actions
+Every event goes through the `EventQueue`: the balancer's clock is set, its method called and its actions
 carried out, in order, before the next event. What an action brings about at once (an attempt that can't be
 sent) waits for its turn.
 
@@ -15,10 +15,7 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TypeVarTuple
 
 from gatebank.actions import (
     Action,
@@ -36,10 +33,8 @@
 from gatebank.balancer import Balancer
 from gatebank.events import (
     AttemptResult,
-    Condition,
     Endpoint,
     Outcome,
-    Phase,
     ReleaseStatus,
     ReplyStatus,
     Request,
@@ -49,26 +44,19 @@
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.downstream import ClientRequest, CommandError
 from gatebank.proxy.downstream.replies import ReplySink
-from gatebank.proxy.log import LOG, log_fault, say
+from gatebank.proxy.event_queue import Arguments, Event, EventQueue
+from gatebank.proxy.fleet_view import FleetView
+from gatebank.proxy.log import LOG, say
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.requests import RequestInFlight, RequestTable
 from gatebank.proxy.started_attempt import StartedAttempt
-from gatebank.proxy.upstream import EndpointKey, EndpointReply, Upstream
+from gatebank.proxy.upstream import EndpointReply, Upstream
 from gatebank.settings import Settings
 
-Arguments = TypeVarTuple("Arguments")
 DEFAULT_HEALTH_TIMEOUT_S = 1.0  # where the settings have no request class
 
 
-@dataclass(slots=True, frozen=True)
-class Event:
-    """A method to call and what with: the balancer's, or one of ours that calls it."""
-
-    method: Callable[..., None]
-    arguments: tuple[object, ...]
-
-
 class Dispatcher:
     """Turns what happens into the balancer's events, and its actions into bytes.
 
@@ -82,8 +70,8 @@
         max_in_flight_bytes: Bound on requests in flight; beyond it they are rejected.
 
     Attributes:
-        endpoints: The endpoint list as told last, by index.
-        release_status: The release service's last status.
+        requests: Those in flight.
+        fleet: What the control plane said last.
         counts: Numbers of what happened, by the names that the log line on how things stand uses.
         lag: Seconds that the latest timer came late since the last such line: this process did not get its
             turn.
@@ -106,11 +94,9 @@
         self.loop = asyncio.get_running_loop()
         self.balancer = Balancer(settings, seed, clock())
         self.peer_transport: PeerTransport | None = None
-        self.events: deque[Event] = deque()  # emptied by `dispatch`
-        self.dispatching = False
+        self.events = EventQueue(self.balancer, clock, self.carry_out, self.rescue)
+        self.fleet = FleetView(registry)
         self.requests = RequestTable(max_in_flight_bytes)
-        self.endpoints: dict[int, Endpoint] = {}
-        self.release_status: ReleaseStatus | None = None
         self.counts: dict[str, int] = {}  # as many as there are kinds of outcomes and answers
         self.lag = 0.0
         objectives = [request_class.latency_objective for request_class in settings.request_classes]
@@ -119,36 +105,8 @@
     # Events, one at a time.
 
     def dispatch(self, method: Callable[[*Arguments], None], *arguments: *Arguments) -> None:
-        """Queue an event, and handle all that are queued unless that is being done already.
-
-        This is a boundary that catches all: whatever fails in an event or an action, no request is left
-        without its final answer, and the next event is handled.
-        """
-        self.events.append(Event(method, arguments))
-        if self.dispatching:
-            return
-        self.dispatching = True
-        try:
-            while self.events:
-                self.handle(self.events.popleft())
-        finally:
-            self.dispatching = False
-
-    def handle(self, event: Event) -> None:
-        """Give the balancer one event, and carry out its actions."""
-        self.balancer.now = self.clock()
-        try:
-            event.method(*event.arguments)
-        except Exception:
-            log_fault(**{"in": getattr(event.method, "__name__", event.method)})
-            self.rescue(event)
-        actions = self.balancer.actions
-        self.balancer.actions = []
-        for action in actions:
-            try:
-                self.carry_out(action)
-            except Exception:
-                log_fault(act=type(action).__name__)
+        """Give the balancer an event in its turn; see `EventQueue`."""
+        self.events.dispatch(method, *arguments)
 
     def rescue(self, event: Event) -> None:
         """An event failed: if it was about a request, that has its final answer now."""
@@ -264,7 +222,7 @@
         number = len(request.attempts)
         request.attempts.append(None)
         request.attempts_out += 1
-        endpoint = self.endpoints.get(endpoint_index)
+        endpoint = self.fleet.endpoints.get(endpoint_index)
         end = min(request.deadline, until or request.deadline)
         too_many = number >= self.settings.limits.max_attempts
         if request.answered or now >= end or too_many or endpoint is None:
@@ -276,7 +234,7 @@
         if self.upstream.record:
             label = f"invocation {request.client_request.id.decode(errors='replace')} shot {number}"
         attempt = self.upstream.send(
-            self.endpoint_key(endpoint),
+            self.fleet.key(endpoint),
             self.registry.names[endpoint_index],
             started.payload,
             started.on_result,
@@ -314,7 +272,7 @@
             logging.DEBUG,
             id=request.client_request.id.decode(errors="replace"),
             ending=outcome.value,
-            build=self.endpoints[endpoint].build if endpoint in self.endpoints else None,
+            build=self.fleet.endpoints[endpoint].build if endpoint in self.fleet.endpoints else None,
             node=self.registry.names[endpoint],
             workload=request.client_request.request_class,
             took=duration,
@@ -335,36 +293,19 @@
 
     def on_endpoint_list(self, endpoints: list[Endpoint], is_complete: bool) -> None:
         """The endpoint list, or what has changed of it."""
-        current = {} if is_complete else dict(self.endpoints)
-        for endpoint in endpoints:
-            current[endpoint.index] = endpoint
-        self.endpoints = {
-            index: endpoint for index, endpoint in current.items() if endpoint.condition is not Condition.GONE
-        }
+        self.fleet.update(endpoints, is_complete)
         self.dispatch(self.balancer.on_endpoint_list, endpoints, is_complete)
-        self.upstream.retain({self.endpoint_key(endpoint) for endpoint in self.endpoints.values()})
-        self.registry.retain(self.endpoints)
-
-    def endpoint_key(self, endpoint: Endpoint) -> EndpointKey:
-        """Which process a listed endpoint is."""
-        address = self.registry.addresses[endpoint.index]
-        return EndpointKey(endpoint.index, address, endpoint.build, endpoint.started)
+        self.upstream.retain(self.fleet.keys())
+        self.registry.retain(self.fleet.endpoints)
 
     def on_release_status(self, status: ReleaseStatus) -> None:
         """The release service's status, or its reply to a vote."""
         if status.reply is ReplyStatus.ACCEPTED:
-            self.release_status = status
+            self.fleet.release_status = status
         if status.is_vote_reply:
             self.count(f"vote {status.reply.value}")
         self.dispatch(self.balancer.on_release_status, status)
 
-    def cap(self, build: int) -> float:
-        """The share of traffic that a build may take: below 1 for the newest before it is released."""
-        status = self.release_status
-        if status and status.build == build and status.phase is not Phase.RELEASED:
-            return status.cap or 0.0
-        return 1.0
-
     def on_watch_failed(self) -> None:
         """Discovery does not answer."""
         self.dispatch(self.balancer.on_watch_failed)
@@ -426,13 +367,13 @@
         def on_result(reply: EndpointReply) -> None:
             self.on_health_result(endpoint_index, reply.outcome)
 
-        endpoint = self.endpoints.get(endpoint_index)
+        endpoint = self.fleet.endpoints.get(endpoint_index)
         if endpoint is None or not self.settings.limits.may_check_health:
             self.on_health_result(endpoint_index, Outcome.NO_CONNECTION)
             return
         self.count("probes")
         name = self.registry.names[endpoint_index]
-        self.upstream.check_health(self.endpoint_key(endpoint), name, self.health_timeout, on_result)
+        self.upstream.check_health(self.fleet.key(endpoint), name, self.health_timeout, on_result)
 
     def on_health_result(self, endpoint_index: int, outcome: Outcome) -> None:
         """How a health check ended."""
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -159,7 +159,7 @@
             self.start_tasks(reloader)
             gc.collect()
             gc.freeze()  # what stands from the start need not be looked at again
-            say("ready", name=self.configuration.name, nodes=len(self.dispatcher.endpoints))
+            say("ready", name=self.configuration.name, nodes=len(self.dispatcher.fleet.endpoints))
             await self.terminated.wait()
             await self.shut_down()
 
--- a/gatebank/proxy/started_attempt.py
+++ b/gatebank/proxy/started_attempt.py
@@ -45,7 +45,7 @@
         self.request = request
         self.number = number
         self.endpoint = endpoint
-        self.cap = dispatcher.cap(endpoint.build)
+        self.cap = dispatcher.fleet.cap(endpoint.build)
         self.started = started
         self.until = until
 
@@ -63,10 +63,11 @@
 
     def endpoint_still_fits(self) -> bool:
         """It is listed with the build it was chosen for, takes requests, and its build's cap did not fall."""
-        listed = self.dispatcher.endpoints.get(self.endpoint.index)
+        fleet = self.dispatcher.fleet
+        listed = fleet.endpoints.get(self.endpoint.index)
         if listed is None or (listed is not self.endpoint and listed.build != self.endpoint.build):
             return False
-        return listed.condition is Condition.READY and self.dispatcher.cap(self.endpoint.build) >= self.cap
+        return listed.condition is Condition.READY and fleet.cap(self.endpoint.build) >= self.cap
 
     def on_result(self, reply: EndpointReply) -> None:
         """Pass its one result on."""
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -107,9 +107,9 @@
         """Once it knows a node that it may send to."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(patience):
-                while not self.exchange.endpoints:
+                while not self.exchange.fleet.endpoints:
                     await asyncio.sleep(0.01)
-        return bool(self.exchange.endpoints)
+        return bool(self.exchange.fleet.endpoints)
 
     def send(self, play: Play) -> None:
         place = Place(self, play)
