--- a/gatebank/proxy/downstream/command.py
+++ b/gatebank/proxy/downstream/command.py
@@ -24,10 +24,10 @@
 
 
 class CommandForm(NamedTuple):
-    """A command's name and its number of words."""
+    """A command's name and its number of arguments, the name included."""
 
     name: bytes
-    words: int
+    argument_count: int
 
 
 FORM_IDEMPOTENT = CommandForm(b"Q.ASK", 4)  # names and values, and no body
@@ -104,9 +104,9 @@
     def command(self, timeout: float) -> bytes:
         r"""Encode it for an endpoint that has ``timeout`` seconds for it.
 
-        >>> words = (b"Q.DO", b"k", b"id", b"z=\xff,d=480,c=pay,z=1", b"body")
+        >>> arguments = (b"Q.DO", b"k", b"id", b"z=\xff,d=480,c=pay,z=1", b"body")
         >>> classes = {"pay": RequestClassRef(0, RetrySafety.NON_IDEMPOTENT)}
-        >>> parse_request([memoryview(word) for word in words], classes, {}).command(0.25)[29:]
+        >>> parse_request([memoryview(argument) for argument in arguments], classes, {}).command(0.25)[29:]
         b'$19\r\nz=\xff,d=250,c=pay,z=1\r\n$4\r\nbody\r\n'
         """
         head, before, after, body = self.parts
@@ -115,39 +115,39 @@
 
 
 def parse_request(
-    words: Sequence[memoryview], classes: Mapping[str, RequestClassRef], tenants: Mapping[str, int]
+    arguments: Sequence[memoryview], classes: Mapping[str, RequestClassRef], tenants: Mapping[str, int]
 ) -> ClientRequest:
     """Read a request's command.
 
     Args:
-        words: The command's words, slices that need not outlive this call.
+        arguments: The command's strings, its name first; slices that need not outlive this call.
         classes: Request classes by name.
         tenants: Indices of tenants by name; empty where the settings have none.
 
     Raises:
         CommandError: The command does not have PROTOCOL's form.
     """
-    if len(words) < 4 or not words[1] or not words[2]:
+    if len(arguments) < 4 or not arguments[1] or not arguments[2]:
         raise CommandError("a command needs a key, an id and names and values")
-    texts = bytes(words[3]).decode("utf-8", "surrogateescape").split(",")  # unknown names pass unchanged
+    texts = bytes(arguments[3]).decode("utf-8", "surrogateescape").split(",")  # unknown names pass unchanged
     pairs = [text.partition("=")[::2] for text in texts]
     values = dict(pairs)
     if sum(name in KNOWN_NAMES for name, _ in pairs) > len(KNOWN_NAMES & values.keys()):
         raise CommandError("a name stands twice")
-    request_class = find_class(words, values, classes, tenants)
+    request_class = find_class(arguments, values, classes, tenants)
     timeout_ms = parse_figure(values.get("d"))
     if not timeout_ms or timeout_ms > MAX_TIMEOUT_MS:
         raise CommandError("d is no time")
     cost_hint_us = parse_figure(values.get("h"))
     at = next(index for index, (name, _) in enumerate(pairs) if name == "d")
-    parts = split_at_timeout(words, texts, at)
+    parts = split_at_timeout(arguments, texts, at)
     return ClientRequest(
-        id=bytes(words[2]),
+        id=bytes(arguments[2]),
         request_class=request_class.class_index,
         tenant=tenants.get(values.get("t", ""), 0),
         timeout=timeout_ms / 1e3,
         cost_hint=cost_hint_us / 1e6 if cost_hint_us else None,
-        key=int.from_bytes(blake2b(words[1], digest_size=KEY_HASH_BYTES).digest(), "big"),
+        key=int.from_bytes(blake2b(arguments[1], digest_size=KEY_HASH_BYTES).digest(), "big"),
         is_client_retry=values.get("r") == "1",
         parts=parts,
         size=sum(map(len, parts)),
@@ -155,7 +155,7 @@
 
 
 def find_class(
-    words: Sequence[memoryview],
+    arguments: Sequence[memoryview],
     values: Mapping[str, str],
     classes: Mapping[str, RequestClassRef],
     tenants: Mapping[str, int],
@@ -167,27 +167,27 @@
     if tenants and values.get("t") not in tenants:
         raise CommandError("no such tenant")
     form = FORM_IDEMPOTENT if request_class.retry_safety is RetrySafety.IDEMPOTENT else FORM_OTHER
-    if (command_name(words), len(words)) != form:
+    if (command_name(arguments), len(arguments)) != form:
         raise CommandError("this workload takes another command, or a body where there is none")
     if request_class.retry_safety is RetrySafety.KEYED and not values.get("k"):
         raise CommandError("a ticketed invocation needs its ticket")
     return request_class
 
 
-def command_name(words: Sequence[memoryview]) -> bytes:
+def command_name(arguments: Sequence[memoryview]) -> bytes:
     """The command's name, which may be written in small letters."""
-    return bytes(words[0][:MAX_NAME_BYTES]).upper()
+    return bytes(arguments[0][:MAX_NAME_BYTES]).upper()
 
 
-def split_at_timeout(words: Sequence[memoryview], texts: Sequence[str], at: int) -> CommandParts:
+def split_at_timeout(arguments: Sequence[memoryview], texts: Sequence[str], at: int) -> CommandParts:
     """Copy a command round the figure of ``d``, the pair at index ``at``."""
     before = ",".join([*texts[:at], "d="])
     after = ",".join(["", *texts[at + 1 :]])
     return CommandParts(
-        b"*%d\r\n" % len(words) + resp.bulks(words[:3]),
+        b"*%d\r\n" % len(arguments) + resp.bulks(arguments[:3]),
         before.encode("utf-8", "surrogateescape"),
         after.encode("utf-8", "surrogateescape"),
-        resp.bulks(words[4:]),
+        resp.bulks(arguments[4:]),
     )
 
 
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -36,8 +36,8 @@
     """
 
     def __init__(self, downstream: Downstream, sock: socket.socket) -> None:
-        tape = downstream.record(sock) if downstream.record else None
-        super().__init__(downstream.loop, sock, resp.Inbox(downstream.buffer_budget), tape)
+        recording = downstream.record(sock) if downstream.record else None
+        super().__init__(downstream.loop, sock, resp.Inbox(downstream.buffer_budget), recording)
         self.downstream = downstream
         self.replies: deque[PendingReply] = deque()
         self.unwritten = b""
@@ -74,8 +74,8 @@
                     self.on_disconnect()
                     break
                 recorded = self.received(size)
-                if self.tape and recorded is not None:
-                    self.tape.asked(recorded)
+                if self.recording and recorded is not None:
+                    self.recording.asked(recorded)
                 taken = await self.take_commands()
                 self.note_partial_command(taken)
                 self.handling = False
@@ -93,11 +93,11 @@
     async def take_commands(self) -> int:
         """Take the whole commands that were read, as fast as their answers go out; returns how many."""
         taken = 0
-        for words in self.inbox.commands():
+        for arguments in self.inbox.commands():
             while len(self.replies) >= limits.MAX_PIPELINED or self.unwritten:
                 self.may_go_on.clear()
                 await self.may_go_on.wait()
-            self.take(words)
+            self.take(arguments)
             taken += 1
             if self.bad_commands:  # others come first: the same again costs who sends it, not them
                 await asyncio.sleep(limits.BAD_COMMAND_PAUSE_S * self.bad_commands)
@@ -111,7 +111,7 @@
         elif taken or not self.command_since:
             self.command_since = self.bytes_since
 
-    def take(self, words: list[memoryview]) -> None:
+    def take(self, arguments: list[memoryview]) -> None:
         """Carry out one command.
 
         Raises:
@@ -122,7 +122,7 @@
         reply = self.next_reply()
         self.downstream.mark_used(self)
         try:
-            self.carry_out(words, reply)
+            self.carry_out(arguments, reply)
             self.bad_commands = 0
         except CommandError as error:
             reply.fail(error.reason)
@@ -130,17 +130,17 @@
             if self.bad_commands >= limits.MAX_BAD_COMMANDS:
                 raise resp.ProtocolError("too many commands without sense") from error
 
-    def carry_out(self, words: list[memoryview], reply: PendingReply) -> None:
+    def carry_out(self, arguments: list[memoryview], reply: PendingReply) -> None:
         """Answer a PING, or hand a request on.
 
         Raises:
             CommandError: It is neither, or can't be carried out.
         """
-        name = command_name(words)
+        name = command_name(arguments)
         if name == b"PING":
             reply.send([PONG])
         elif name in REQUEST_COMMANDS:
-            request = parse_request(words, self.downstream.request_classes, self.downstream.tenants)
+            request = parse_request(arguments, self.downstream.request_classes, self.downstream.tenants)
             reply.request_id = request.id
             if self.downstream.time_left() < request.timeout:  # it might meet SIGKILL; it has run nowhere yet
                 reply.reject(None)
@@ -246,7 +246,7 @@
         while self.replies and self.replies[0].parts is not None:
             reply = self.replies.popleft()
             parts += reply.parts or ()
-            if self.tape and reply.request_id is not None and reply.parts:
+            if self.recording and reply.request_id is not None and reply.parts:
                 request_id = reply.request_id.decode(errors="replace")
                 comments.append(f"invocation {request_id} {how_answered(reply.parts[0])}")
         if self.closed or not parts:
@@ -266,8 +266,8 @@
         except OSError:
             self.downstream.close_soon(self)
             return
-        if self.tape and sent:
-            self.tape.replied(b"".join(parts)[:sent], "; ".join(comments))
+        if self.recording and sent:
+            self.recording.replied(b"".join(parts)[:sent], "; ".join(comments))
         if sent < size:
             self.keep_unwritten(b"".join(parts)[sent:])
             self.writer = asyncio.ensure_future(self.write_rest())
@@ -295,8 +295,8 @@
                 part = self.unwritten[: limits.WRITE_CHUNK_BYTES]
                 async with asyncio.timeout(limits.STALL_S):
                     await self.loop.sock_sendall(self.sock, part)
-                if self.tape:
-                    self.tape.replied(part)
+                if self.recording:
+                    self.recording.replied(part)
                 self.unwritten = self.unwritten[len(part) :]
                 self.downstream.unwritten_bytes -= len(part)
         except (OSError, TimeoutError):
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -35,7 +35,7 @@
         broken_count: Connections that sent what is no command, since the start.
     """
 
-    record: Record | None = None  # makes the tape of a connection
+    record: Record | None = None  # begins the recording of a connection
 
     def __init__(
         self, settings: Settings, handler: RequestHandler, max_connections: int, bounds: Bounds
--- a/gatebank/proxy/peer_transport.py
+++ b/gatebank/proxy/peer_transport.py
@@ -28,7 +28,7 @@
         on_message: Takes a peer's number and its message.
 
     Attributes:
-        sent: Datagrams since the start; ``heard`` and ``dropped`` likewise.
+        sent: Datagrams since the start; ``received`` and ``dropped`` likewise.
 
     Raises:
         OSError: ``listen`` can't be listened on.
@@ -48,7 +48,7 @@
         self.on_message = on_message
         self.numbers = {peer: number for number, peer in enumerate(peers)}
         self.sent = 0
-        self.heard = 0
+        self.received = 0
         self.dropped = 0
         self.loop = asyncio.get_running_loop()
         self.buffer = bytearray(peer_messages.MOST_BYTES + 1)  # one more shows what is too long
@@ -96,7 +96,7 @@
         if number is None or message is None:
             self.dropped += 1
         elif number != self.instance:
-            self.heard += 1
+            self.received += 1
             self.on_message(number, message)
 
     def close(self) -> None:
--- a/gatebank/proxy/release_service.py
+++ b/gatebank/proxy/release_service.py
@@ -168,8 +168,8 @@
         elif event.name == "DISPUTE":
             # No evidence: few answers are disputed, and some of them by mistake.
             float(fields.get("lag_ms", 0))
-            known_endpoint = fields.get("host", "") in self.registry.indices
-            if not known_endpoint or fields.get("type", "") not in self.request_classes:
+            is_listed = fields.get("host", "") in self.registry.indices
+            if not is_listed or fields.get("type", "") not in self.request_classes:
                 say("desk_unread", logging.WARNING, why="a dispute of nobody known")
         else:
             say("desk_unknown", logging.WARNING, name=event.name)
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -43,7 +43,7 @@
 from gatebank.proxy.log import LOG, log_event, say
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
-from gatebank.proxy.sockets import ConnectionTape
+from gatebank.proxy.sockets import ConnectionRecording
 from gatebank.proxy.supervisor import Supervisor
 from gatebank.proxy.upstream import Upstream
 
@@ -63,11 +63,11 @@
 class ConnectionRecorder(OptionalPart, Protocol):
     """Records connections; without delay to them."""
 
-    def clients(self, sock: socket.socket) -> ConnectionTape | None:
-        """The tape of a client's connection; None if that side is not recorded."""
+    def clients(self, sock: socket.socket) -> ConnectionRecording | None:
+        """The recording of a client's connection; None if that side is not recorded."""
 
-    def nodes(self, sock: socket.socket) -> ConnectionTape | None:
-        """The tape of a connection to an endpoint; None if that side is not recorded."""
+    def nodes(self, sock: socket.socket) -> ConnectionRecording | None:
+        """The recording of a connection to an endpoint; None if that side is not recorded."""
 
     def stop(self) -> None:
         """Write what is queued, and end."""
@@ -270,7 +270,7 @@
                 "lag": round(dispatcher.lag, 3),
                 "node_connections_opened": self.upstream.opened_total,
                 "words_told": peers.sent if peers else 0,
-                "words_heard": peers.heard if peers else 0,
+                "words_heard": peers.received if peers else 0,
                 "words_dropped": peers.dropped if peers else 0,
                 **counts,
             },
--- a/gatebank/proxy/sockets.py
+++ b/gatebank/proxy/sockets.py
@@ -8,12 +8,14 @@
 from collections.abc import Callable, Coroutine, Generator
 from fcntl import ioctl
 from types import coroutine
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from gatebank.proxy.configuration import Address
 
+Result = TypeVar("Result")
 
-class ConnectionTape(Protocol):
+
+class ConnectionRecording(Protocol):
     """Who hears of a connection that is recorded: side 0 opened it and asks, side 1 replies."""
 
     def asked(self, data: bytes, comment: str = "") -> None:
@@ -26,7 +28,8 @@
         """The connection ended, by this side."""
 
 
-Record = Callable[[socket.socket], ConnectionTape | None]  # makes the tape of a connection that has come up
+# Begins the recording of a connection that has come up; None where that side is not recorded.
+Record = Callable[[socket.socket], ConnectionRecording | None]
 
 
 def opened(address: Address, kind: int = socket.SOCK_STREAM) -> socket.socket:
@@ -69,7 +72,7 @@
         return self.future is not None and self.future.done()
 
     @coroutine
-    def of(self, operation: Coroutine[Any, Any, Any]) -> Generator[Any, Any, Any]:
+    def of(self, operation: Coroutine[Any, Any, Result]) -> Generator[Any, Any, Result]:
         """Await the operation: what it waits for is handed on, and kept in sight."""
         steps = operation.__await__()
         try:
@@ -82,7 +85,8 @@
                 else:
                     self.future = steps.send(found)
         except StopIteration as ended:
-            return ended.value
+            result: Result = ended.value
+            return result
         finally:
             self.future = None
 
--- a/gatebank/proxy/stream.py
+++ b/gatebank/proxy/stream.py
@@ -10,7 +10,7 @@
 import socket
 
 from gatebank.proxy import resp
-from gatebank.proxy.sockets import ConnectionTape, Pending, give_back, waiting
+from gatebank.proxy.sockets import ConnectionRecording, Pending, give_back, waiting
 
 
 class Stream:
@@ -19,7 +19,7 @@
     Attributes:
         handling: A read has ended, and not all that it brought is used up yet.
         closed: Nothing is read or written any more.
-        tape: Who records the connection; None if nobody does.
+        recording: Who records the connection; None if nobody does.
         reader: The task that reads, begun by the subclass as the last thing of its making.
         writer: The task that writes what the system did not take at once.
     """
@@ -31,12 +31,12 @@
         loop: asyncio.AbstractEventLoop,
         sock: socket.socket,
         inbox: resp.Inbox,
-        tape: ConnectionTape | None,
+        recording: ConnectionRecording | None,
     ) -> None:
         self.loop = loop
         self.sock = sock
         self.inbox = inbox
-        self.tape = tape
+        self.recording = recording
         self.reading = Pending()
         self.handling = False
         self.closed = False
@@ -57,7 +57,7 @@
         """Account for a read of ``size`` bytes; returns a copy of them where the connection is recorded."""
         self.handling = True
         self.inbox.filled(size)
-        if self.tape is None:
+        if self.recording is None:
             return None
         return bytes(self.inbox.data[self.inbox.end - size : self.inbox.end])
 
@@ -69,7 +69,7 @@
             comment: For the recording.
         """
         self.inbox.close()
-        if self.tape:
+        if self.recording:
             ended_by_peer = waiting(self.sock) < 0
-            self.tape.ended(peer_side if ended_by_peer else 1 - peer_side, comment=comment)
+            self.recording.ended(peer_side if ended_by_peer else 1 - peer_side, comment=comment)
         give_back(self.sock, self.reader, self.writer)
--- a/gatebank/proxy/upstream/connection.py
+++ b/gatebank/proxy/upstream/connection.py
@@ -34,13 +34,15 @@
 
     def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
         upstream = pool.upstream
-        tape = upstream.record(sock) if upstream.record else None
-        super().__init__(upstream.loop, sock, resp.Inbox(upstream.buffer_budget, upstream.max_value), tape)
+        recording = upstream.record(sock) if upstream.record else None
+        super().__init__(
+            upstream.loop, sock, resp.Inbox(upstream.buffer_budget, upstream.max_value), recording
+        )
         self.pool = pool
         self.attempts: deque[Attempt] = deque()  # in the order written; emptied by replies, or by `close`
         self.idle_since = time.monotonic()
         self.rests_until = 0.0  # it has answered, and may do so twice
-        self.abandoned = ""  # for the tape: which attempt was given up, and why
+        self.abandoned = ""  # for the recording: which attempt was given up, and why
         self.reader = asyncio.ensure_future(self.read())
 
     def write(self, attempt: Attempt) -> bool:
@@ -59,8 +61,8 @@
             self.close()
             return True
         attempt.written = sent == len(data)
-        if self.tape:
-            self.tape.asked(data[:sent], attempt.label)
+        if self.recording:
+            self.recording.asked(data[:sent], attempt.label)
         if not attempt.written:
             self.writer = asyncio.ensure_future(self.write_rest(attempt, data[sent:]))
         return True
@@ -76,8 +78,8 @@
                 await self.loop.sock_sendall(self.sock, rest[:-1])
             attempt.written = True
             await self.loop.sock_sendall(self.sock, rest[-1:])
-            if self.tape:
-                self.tape.asked(rest)
+            if self.recording:
+                self.recording.asked(rest)
             self.writer = None
         except OSError:
             self.close()
@@ -90,8 +92,8 @@
                 if not size:
                     break
                 recorded = self.received(size)
-                if self.tape and recorded is not None:
-                    self.tape.replied(recorded)
+                if self.recording and recorded is not None:
+                    self.recording.replied(recorded)
                 self.handle_replies()
                 if not self.attempts and not self.closed:
                     if self.ended_behind_answer():
@@ -120,8 +122,7 @@
             patience = ANSWER_SILENCE_FACTOR * self.pool.upstream.connect_timeout
             timer = self.loop.call_later(patience, self.on_answer_silent)
         try:
-            size: int = await self.reading.of(self.loop.sock_recv_into(self.sock, room))
-            return size
+            return await self.reading.of(self.loop.sock_recv_into(self.sock, room))
         finally:
             if timer:
                 timer.cancel()
@@ -171,7 +172,7 @@
 
     def abandon(self, attempt: Attempt, outcome: Outcome) -> None:
         """No answer to this attempt is wanted any more: close, unless others are out on the connection."""
-        if self.tape and attempt.label:
+        if self.recording and attempt.label:
             self.abandoned = f"{attempt.label} {outcome.value}"
         if all(other.done or other is attempt for other in self.attempts):
             self.attempts.clear()
--- a/gatebank/proxy/upstream/pools.py
+++ b/gatebank/proxy/upstream/pools.py
@@ -33,7 +33,7 @@
         buffer_bytes: What all receive buffers may grow by together.
     """
 
-    record: Record | None = None  # makes the tape of a connection
+    record: Record | None = None  # begins the recording of a connection
 
     def __init__(
         self, settings: Settings, max_connections: int, buffer_bytes: int = DEFAULT_BUFFER_BYTES
