--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -17,7 +17,7 @@
 from hdrh.histogram import HdrHistogram
 
 from gatebank.fakes.clients import invocation
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 
 class Line(asyncio.Protocol):
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -7,7 +7,7 @@
 
 from gatebank.capture import writing
 from gatebank.fakes.clients import invocation
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 START = 1_700_000_000_000_000_000
 ETHERNET = bytes(12) + b"\x08\x00"
--- a/gatebank/capture/dialogues.py
+++ b/gatebank/capture/dialogues.py
@@ -15,7 +15,7 @@
 from gatebank.capture.bounds import ReadingBounds
 from gatebank.capture.records import Exchange
 from gatebank.capture.streams import Stream
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 COMMAND = re.compile(rb"\*[1-9]\d?\r\n\$\d{1,2}\r\n(?:Q\.(?:ASK|DO)|PING)\r\n", re.IGNORECASE)
 LONGEST = 32  # bytes of COMMAND: where it may lie across two segments
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -42,16 +42,16 @@
 from gatebank.peer_messages import PeerMessage
 from gatebank.proxy.clock import Clock
 from gatebank.proxy.discovery import EndpointRegistry
-from gatebank.proxy.downstream import ClientRequest, CommandError
 from gatebank.proxy.downstream.replies import ReplySink
 from gatebank.proxy.event_queue import Arguments, Event, EventQueue
 from gatebank.proxy.fleet_view import FleetView
 from gatebank.proxy.log import LOG, say
+from gatebank.proxy.messages import ClientRequest, CommandError, EndpointReply
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.requests import RequestInFlight, RequestTable
 from gatebank.proxy.started_attempt import StartedAttempt
-from gatebank.proxy.upstream import EndpointReply, Upstream
+from gatebank.proxy.upstream import Upstream
 from gatebank.settings import Settings
 
 DEFAULT_HEALTH_TIMEOUT_S = 1.0  # where the settings have no request class
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -8,10 +8,10 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from gatebank.proxy import resp
+from gatebank.proxy.buffers import ProtocolError
 from gatebank.proxy.downstream import limits
-from gatebank.proxy.downstream.command import REQUEST_COMMANDS, CommandError, command_name, parse_request
-from gatebank.proxy.downstream.replies import PONG, PendingReply, how_answered
+from gatebank.proxy.downstream.replies import PendingReply
+from gatebank.proxy.messages import CommandError
 from gatebank.proxy.sockets import hung_up, unsent
 from gatebank.proxy.stream import Stream
 
@@ -37,7 +37,10 @@
 
     def __init__(self, downstream: Downstream, sock: socket.socket) -> None:
         recording = downstream.record(sock) if downstream.record else None
-        super().__init__(downstream.loop, sock, resp.Inbox(downstream.buffer_budget), recording)
+        self.session = downstream.session
+        inbox = self.session.buffer(downstream.buffer_budget)
+        super().__init__(downstream.loop, sock, inbox, recording)
+        self.whole_commands = inbox.commands
         self.downstream = downstream
         self.replies: deque[PendingReply] = deque()
         self.unwritten = b""
@@ -81,7 +84,7 @@
                 self.handling = False
                 if taken != 1:  # more may wait: a read that finds bytes does not let others have their turn
                     await asyncio.sleep(0)
-        except resp.ProtocolError as error:
+        except ProtocolError as error:
             self.end(str(error))
         except OSError:
             pass
@@ -93,7 +96,7 @@
     async def take_commands(self) -> int:
         """Take the whole commands that were read, as fast as their answers go out; returns how many."""
         taken = 0
-        for arguments in self.inbox.commands():
+        for arguments in self.whole_commands():
             while len(self.replies) >= limits.MAX_PIPELINED or self.unwritten:
                 self.may_go_on.clear()
                 await self.may_go_on.wait()
@@ -115,7 +118,7 @@
         """Carry out one command.
 
         Raises:
-            resp.ProtocolError: One too many in a row could not be carried out.
+            ProtocolError: One too many in a row could not be carried out.
         """
         self.has_spoken = True
         self.command_since = 0.0
@@ -128,7 +131,7 @@
             reply.fail(error.reason)
             self.bad_commands += 1
             if self.bad_commands >= limits.MAX_BAD_COMMANDS:
-                raise resp.ProtocolError("too many commands without sense") from error
+                raise ProtocolError("too many commands without sense") from error
 
     def carry_out(self, arguments: list[memoryview], reply: PendingReply) -> None:
         """Answer a PING, or hand a request on.
@@ -136,18 +139,15 @@
         Raises:
             CommandError: It is neither, or can't be carried out.
         """
-        name = command_name(arguments)
-        if name == b"PING":
-            reply.send([PONG])
-        elif name in REQUEST_COMMANDS:
-            request = parse_request(arguments, self.downstream.request_classes, self.downstream.tenants)
-            reply.request_id = request.id
-            if self.downstream.time_left() < request.timeout:  # it might meet SIGKILL; it has run nowhere yet
-                reply.reject(None)
-            else:
-                self.downstream.handler.start_request(request, reply)
+        request = self.session.interpret(arguments)
+        if request is None:
+            reply.send(self.session.pong)
+            return
+        reply.request_id = request.id
+        if self.downstream.time_left() < request.timeout:  # it might meet SIGKILL; it has run nowhere yet
+            reply.reject(None)
         else:
-            raise CommandError("unknown command")
+            self.downstream.handler.start_request(request, reply)
 
     # The end of reading.
 
@@ -248,7 +248,7 @@
             parts += reply.parts or ()
             if self.recording and reply.request_id is not None and reply.parts:
                 request_id = reply.request_id.decode(errors="replace")
-                comments.append(f"invocation {request_id} {how_answered(reply.parts[0])}")
+                comments.append(f"invocation {request_id} {self.session.how_answered(reply.parts)}")
         if self.closed or not parts:
             return
         if self.unwritten:
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -7,13 +7,14 @@
 import socket
 from math import inf
 
-from gatebank.proxy import resp
+from gatebank.proxy.buffers import Allowance
 from gatebank.proxy.configuration import Address, Bounds
 from gatebank.proxy.downstream import limits
-from gatebank.proxy.downstream.command import request_classes_by_name, tenants_by_name
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
 from gatebank.proxy.log import say
+from gatebank.proxy.messages import request_classes_by_name, tenants_by_name
+from gatebank.proxy.resp2.session import ClientSession
 from gatebank.proxy.sockets import Pending, Record, opened
 from gatebank.settings import Settings
 
@@ -44,9 +45,8 @@
         self.handler = handler
         self.max_connections = max_connections
         self.max_unwritten_bytes = bounds.answers
-        self.buffer_budget = resp.Allowance(bounds.buffers)
-        self.request_classes = request_classes_by_name(settings)
-        self.tenants = tenants_by_name(settings)
+        self.buffer_budget = Allowance(bounds.buffers)
+        self.session = ClientSession(request_classes_by_name(settings), tenants_by_name(settings))
         self.connections: dict[ClientConnection, None] = {}
         self.unwritten_bytes = 0
         self.peak_count = 0
--- a/gatebank/proxy/downstream/replies.py
+++ b/gatebank/proxy/downstream/replies.py
@@ -5,15 +5,12 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Protocol
 
-from gatebank.proxy import resp
-from gatebank.proxy.downstream.command import ClientRequest
+from gatebank.proxy.messages import ClientRequest
 
 if TYPE_CHECKING:
     from gatebank.proxy.downstream.connection import ClientConnection
     from gatebank.proxy.requests import RequestInFlight
 
-PONG = b"+PONG\r\n"
-
 
 class ReplySink(Protocol):
     """Takes the one final answer to a request, wherever that came from.
@@ -64,15 +61,15 @@
 
     def serve(self, value: memoryview) -> None:
         """See `ReplySink`."""
-        self.send(resp.bulk(value))
+        self.send(self.connection.session.value(value))
 
     def reject(self, retry_after: float | None) -> None:
         """See `ReplySink`."""
-        self.send([b"-BUSY %d\r\n" % (retry_after * 1000) if retry_after else b"-BUSY\r\n"])
+        self.send(self.connection.session.rejection(retry_after))
 
     def fail(self, reason: str) -> None:
         """See `ReplySink`."""
-        self.send([f"-ERR {reason}\r\n".encode()])
+        self.send(self.connection.session.failure(reason))
 
     def send(self, parts: Sequence[bytes | memoryview]) -> None:
         """Send the answer when its turn has come; until then it is kept, and copied, as its buffer is not."""
@@ -80,10 +77,3 @@
         self.parts = parts if first else [bytes(part) for part in parts]
         if first:
             self.connection.flush()
-
-
-def how_answered(first: bytes | memoryview) -> str:
-    """How a request ended, by how its answer begins; recordings use these words."""
-    if first[:1] == b"$":
-        return "satisfied"
-    return "rejected" if first[:5] == b"-BUSY" else "broken off"
--- a/gatebank/proxy/requests.py
+++ b/gatebank/proxy/requests.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import ValuesView
 
-from gatebank.proxy.downstream.command import ClientRequest
 from gatebank.proxy.downstream.replies import ReplySink
+from gatebank.proxy.messages import ClientRequest
 from gatebank.proxy.upstream.attempt import Attempt
 
 ROW_BYTES = 2048  # that a request in flight takes besides its own, about
--- a/gatebank/proxy/resp.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -28,7 +28,9 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from gatebank.errors import GatebankError
+from gatebank.proxy.buffers import Allowance, ProtocolError
+
+__all__ = ["MAX_VALUE", "Allowance", "Inbox", "ProtocolError", "Reply", "bulk", "bulks", "command"]
 
 MAX_VALUE = 64 * 1024  # bytes a value may hold: PROTOCOL; nodes are seen to give more
 MAX_WORDS = 16  # in one message; the protocol's longest has five
@@ -39,10 +41,6 @@
 MIN_ROOM = 1024  # bytes that a read wants
 
 
-class ProtocolError(GatebankError):
-    """What came is not RESP2, or larger than allowed; the text says what."""
-
-
 @dataclass(slots=True)
 class Reply:
     """One answer.
@@ -56,19 +54,6 @@
     words: list[memoryview | None]
 
 
-class Allowance:
-    """Bytes that many buffers share for what they grow beyond their first room."""
-
-    def __init__(self, size: int) -> None:
-        self.left = size
-
-    def take(self, size: int) -> bool:
-        """Take so many bytes, if they are left; who took them gives them back by adding to ``left``."""
-        fits = size <= self.left
-        self.left -= size if fits else 0
-        return fits
-
-
 class Inbox:
     """One connection's buffer.
 
--- a/gatebank/proxy/downstream/command.py
+++ b/gatebank/proxy/resp2/commands.py
@@ -1,4 +1,4 @@
-"""The RESP2 command of a client as a `ClientRequest`. No I/O.
+"""The command of a client as a `ClientRequest`.
 
 A command is checked against the form that PROTOCOL gives, since an endpoint closes on what it can't use, or
 rejects it, and neither the endpoint nor its build would be at fault.
@@ -11,10 +11,9 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from gatebank.errors import GatebankError
 from gatebank.events import RetrySafety
-from gatebank.proxy import resp
-from gatebank.settings import Settings
+from gatebank.proxy.messages import ClientRequest, CommandError, RequestClassRef
+from gatebank.proxy.resp2 import codec
 
 # Names that have a meaning here: request class, tenant, deadline, idempotency key, client retry, cost hint.
 KNOWN_NAMES = frozenset(("c", "t", "d", "k", "r", "h"))
@@ -35,38 +34,6 @@
 REQUEST_COMMANDS = (FORM_IDEMPOTENT.name, FORM_OTHER.name)
 
 
-class CommandError(GatebankError):
-    """A command that can't be carried out.
-
-    Attributes:
-        reason: What is wrong, as the client's error line says it.
-    """
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
-
-
-class RequestClassRef(NamedTuple):
-    """A request class as the balancer knows it."""
-
-    class_index: int
-    retry_safety: RetrySafety
-
-
-def request_classes_by_name(settings: Settings) -> dict[str, RequestClassRef]:
-    """The request classes of the settings, by the name that clients use."""
-    return {
-        request_class.name: RequestClassRef(index, request_class.retry_safety)
-        for index, request_class in enumerate(settings.request_classes)
-    }
-
-
-def tenants_by_name(settings: Settings) -> dict[str, int]:
-    """Indices of the tenants, by the name that clients use."""
-    return {tenant.name: index for index, tenant in enumerate(settings.tenants)}
-
-
 class CommandParts(NamedTuple):
     """A command as it goes to endpoints, but for the figure of ``d``, which is this instance's."""
 
@@ -77,29 +44,10 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ClientRequest:
-    """A request as a client wrote it, copied: it outlives the buffer, as it may need several attempts.
-
-    Attributes:
-        id: The client's own name for it.
-        request_class: Index of the request class.
-        tenant: Index of the tenant; 0 where the settings have none.
-        timeout: Seconds that the client waits.
-        cost_hint: Seconds that the client expects it to take; None if it does not say.
-        key: Hash of the routing key.
-        is_client_retry: The client says that it sent it before.
-        size: Bytes held.
-    """
+class Resp2Request(ClientRequest):
+    """A request that goes to endpoints as it came, but for the figure of ``d``."""
 
-    id: bytes
-    request_class: int
-    tenant: int
-    timeout: float
-    cost_hint: float | None
-    key: int
-    is_client_retry: bool
     parts: CommandParts
-    size: int
 
     def command(self, timeout: float) -> bytes:
         r"""Encode it for an endpoint that has ``timeout`` seconds for it.
@@ -111,12 +59,12 @@
         """
         head, before, after, body = self.parts
         names = b"%b%d%b" % (before, max(1, int(timeout * 1000)), after)
-        return b"".join((head, *resp.bulk(names), body))
+        return b"".join((head, *codec.bulk(names), body))
 
 
 def parse_request(
     arguments: Sequence[memoryview], classes: Mapping[str, RequestClassRef], tenants: Mapping[str, int]
-) -> ClientRequest:
+) -> Resp2Request:
     """Read a request's command.
 
     Args:
@@ -141,7 +89,7 @@
     cost_hint_us = parse_figure(values.get("h"))
     at = next(index for index, (name, _) in enumerate(pairs) if name == "d")
     parts = split_at_timeout(arguments, texts, at)
-    return ClientRequest(
+    return Resp2Request(
         id=bytes(arguments[2]),
         request_class=request_class.class_index,
         tenant=tenants.get(values.get("t", ""), 0),
@@ -184,10 +132,10 @@
     before = ",".join([*texts[:at], "d="])
     after = ",".join(["", *texts[at + 1 :]])
     return CommandParts(
-        b"*%d\r\n" % len(arguments) + resp.bulks(arguments[:3]),
+        b"*%d\r\n" % len(arguments) + codec.bulks(arguments[:3]),
         before.encode("utf-8", "surrogateescape"),
         after.encode("utf-8", "surrogateescape"),
-        resp.bulks(arguments[4:]),
+        codec.bulks(arguments[4:]),
     )
 
 
--- a/gatebank/proxy/upstream/replies.py
+++ b/gatebank/proxy/resp2/endpoint_replies.py
@@ -1,12 +1,13 @@
-"""What an endpoint's RESP2 reply means. No I/O."""
+"""What an endpoint's reply means."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
 from gatebank.events import Outcome
-from gatebank.proxy import resp
-from gatebank.proxy.upstream.attempt import EndpointReply
+from gatebank.proxy.buffers import ProtocolError
+from gatebank.proxy.messages import EndpointReply
+from gatebank.proxy.resp2 import codec
 
 # The settings name a report's fields as the simulator does; an endpoint names them so.
 REPORT_FIELD_NAMES = {
@@ -20,11 +21,11 @@
 MAX_FIGURE = 1e9  # of a load report, exclusive: no endpoint counts so high, so it is noise
 
 
-def parse_attempt_reply(reply: resp.Reply, report_fields: Sequence[str]) -> EndpointReply:
+def parse_attempt_reply(reply: codec.Reply, report_fields: Sequence[str]) -> EndpointReply:
     """Read the reply to an attempt.
 
     Raises:
-        resp.ProtocolError: No reply to an attempt has this form.
+        ProtocolError: No reply to an attempt has this form.
     """
     words = reply.words
     if reply.mark == "*" and len(words) == 3 and words[0] is not None and words[1] is None:
@@ -37,10 +38,10 @@
             case b"ERR":
                 report = parse_load_report(text.rpartition(b" ")[2], report_fields)
                 return EndpointReply(Outcome.ERROR, None, report)
-    raise resp.ProtocolError("no answer to an attempt looks so")
+    raise ProtocolError("no answer to an attempt looks so")
 
 
-def parse_health_reply(reply: resp.Reply) -> EndpointReply:
+def parse_health_reply(reply: codec.Reply) -> EndpointReply:
     """Read the reply to a health check: any simple string is a sign of life."""
     return EndpointReply(Outcome.SUCCESS if reply.mark == "+" else Outcome.ERROR)
 
--- a/gatebank/proxy/started_attempt.py
+++ b/gatebank/proxy/started_attempt.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING
 
 from gatebank.events import Condition, Endpoint
+from gatebank.proxy.messages import EndpointReply
 from gatebank.proxy.requests import RequestInFlight
-from gatebank.proxy.upstream import EndpointReply
 
 if TYPE_CHECKING:
     from gatebank.proxy.dispatcher import Dispatcher
--- a/gatebank/proxy/stream.py
+++ b/gatebank/proxy/stream.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 
-from gatebank.proxy import resp
+from gatebank.proxy.buffers import ReceiveBuffer
 from gatebank.proxy.sockets import ConnectionRecording, Pending, give_back, waiting
 
 
@@ -25,12 +25,13 @@
     """
 
     reader: asyncio.Task[None]
+    inbox: ReceiveBuffer
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         sock: socket.socket,
-        inbox: resp.Inbox,
+        inbox: ReceiveBuffer,
         recording: ConnectionRecording | None,
     ) -> None:
         self.loop = loop
--- a/gatebank/proxy/upstream/__init__.py
+++ b/gatebank/proxy/upstream/__init__.py
@@ -4,7 +4,8 @@
 sent again here: each retry is a decision of the balancer.
 """
 
-from gatebank.proxy.upstream.attempt import Attempt, EndpointKey, EndpointReply
+from gatebank.proxy.messages import EndpointReply
+from gatebank.proxy.upstream.attempt import Attempt, EndpointKey
 from gatebank.proxy.upstream.connection import EndpointConnection
 from gatebank.proxy.upstream.pool import ConnectionPool
 from gatebank.proxy.upstream.pools import Upstream
--- a/gatebank/proxy/upstream/attempt.py
+++ b/gatebank/proxy/upstream/attempt.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 from gatebank.events import Outcome
 from gatebank.proxy.configuration import Address
+from gatebank.proxy.messages import EndpointReply
 
 if TYPE_CHECKING:
     from gatebank.proxy.upstream.connection import EndpointConnection
@@ -28,20 +28,6 @@
     started_at: float | None
 
 
-@dataclass(slots=True, frozen=True)
-class EndpointReply:
-    """How an attempt ended and what the endpoint said.
-
-    Attributes:
-        value: The endpoint's answer, a slice of its connection's buffer: good until the next read.
-        load_report: Figures in the order of the settings' report fields.
-    """
-
-    outcome: Outcome
-    value: memoryview | None = None
-    load_report: Sequence[float] | None = None
-
-
 class Attempt:
     """An attempt or a health check. Invariant: ``on_result`` is called exactly once.
 
--- a/gatebank/proxy/upstream/connection.py
+++ b/gatebank/proxy/upstream/connection.py
@@ -13,12 +13,12 @@
 from typing import TYPE_CHECKING
 
 from gatebank.events import Outcome
-from gatebank.proxy import resp
+from gatebank.proxy.buffers import ProtocolError
 from gatebank.proxy.log import say
+from gatebank.proxy.messages import EndpointReply
 from gatebank.proxy.sockets import waiting
 from gatebank.proxy.stream import Stream
-from gatebank.proxy.upstream.attempt import Attempt, EndpointReply
-from gatebank.proxy.upstream.replies import parse_attempt_reply, parse_health_reply
+from gatebank.proxy.upstream.attempt import Attempt
 
 if TYPE_CHECKING:
     from gatebank.proxy.upstream.pool import ConnectionPool
@@ -35,9 +35,10 @@
     def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
         upstream = pool.upstream
         recording = upstream.record(sock) if upstream.record else None
-        super().__init__(
-            upstream.loop, sock, resp.Inbox(upstream.buffer_budget, upstream.max_value), recording
-        )
+        self.session = upstream.session
+        inbox = self.session.buffer(upstream.buffer_budget, upstream.max_value)
+        super().__init__(upstream.loop, sock, inbox, recording)
+        self.whole_replies = inbox.replies
         self.pool = pool
         self.attempts: deque[Attempt] = deque()  # in the order written; emptied by replies, or by `close`
         self.idle_since = time.monotonic()
@@ -101,7 +102,7 @@
                     self.handling = False
                     self.pool.rest(self)
                 self.handling = False
-        except resp.ProtocolError as error:
+        except ProtocolError as error:
             idle = {} if self.attempts else {"idle": time.monotonic() - self.idle_since}
             say("node_broken", logging.WARNING, node=self.pool.name, why=error, **idle)
         except OSError:
@@ -135,14 +136,11 @@
 
     def handle_replies(self) -> None:
         """Give each whole reply to the attempt whose turn it is."""
-        for reply in self.inbox.replies():
+        for reply in self.whole_replies():
             if not self.attempts or not self.attempts[0].written:
-                raise resp.ProtocolError("it answered what was not asked")
+                raise ProtocolError("it answered what was not asked")
             attempt = self.attempts[0]
-            if attempt.is_health_check:
-                result = parse_health_reply(reply)
-            else:
-                result = parse_attempt_reply(reply, self.pool.upstream.report_fields)
+            result = self.session.interpret(reply, attempt.is_health_check)
             self.attempts.popleft()
             attempt.finish(result)
 
@@ -153,13 +151,13 @@
         value.
 
         Raises:
-            resp.ProtocolError: More came than one answer.
+            ProtocolError: More came than one answer.
         """
         behind = waiting(self.sock)
         if behind < 0:
             return True
         if self.inbox.held or behind:
-            raise resp.ProtocolError("more came than one answer")
+            raise ProtocolError("more came than one answer")
         return False
 
     def can_share(self, max_attempts: int) -> bool:
--- a/gatebank/proxy/upstream/pool.py
+++ b/gatebank/proxy/upstream/pool.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from gatebank.events import Outcome
-from gatebank.proxy.upstream.attempt import Attempt, EndpointKey, EndpointReply
+from gatebank.proxy.messages import EndpointReply
+from gatebank.proxy.upstream.attempt import Attempt, EndpointKey
 from gatebank.proxy.upstream.connection import EndpointConnection
 
 if TYPE_CHECKING:
--- a/gatebank/proxy/upstream/pools.py
+++ b/gatebank/proxy/upstream/pools.py
@@ -8,16 +8,16 @@
 from collections.abc import Callable
 
 from gatebank.events import Outcome
-from gatebank.proxy import resp
+from gatebank.proxy.buffers import Allowance
 from gatebank.proxy.log import say
+from gatebank.proxy.messages import EndpointReply
+from gatebank.proxy.resp2.session import EndpointSession
 from gatebank.proxy.sockets import Record, opened
-from gatebank.proxy.upstream.attempt import Attempt, EndpointKey, EndpointReply
+from gatebank.proxy.upstream.attempt import Attempt, EndpointKey
 from gatebank.proxy.upstream.connection import EndpointConnection
 from gatebank.proxy.upstream.pool import REST_S, ConnectionPool
-from gatebank.proxy.upstream.replies import REPORT_FIELD_NAMES
 from gatebank.settings import Settings
 
-PING = resp.command([b"PING"])
 DEFAULT_BUFFER_BYTES = 1 << 20  # that all receive buffers may grow by together
 DEFAULT_CONNECT_TIMEOUT_S = 1.0  # where the settings have none
 DEFAULT_IDLE_TIMEOUT_S = 10.0  # after which an endpoint closes, where the settings have none
@@ -43,9 +43,9 @@
         connect_timeout = limits.connect_timeout
         self.loop = asyncio.get_running_loop()
         self.max_connections = max_connections
-        self.buffer_budget = resp.Allowance(buffer_bytes)
+        self.buffer_budget = Allowance(buffer_bytes)
         # Endpoints give values beyond PROTOCOL's 64 KiB: what memory allows is taken.
-        self.max_value = max(resp.MAX_VALUE, buffer_bytes // VALUES_AT_ONCE)
+        self.max_value = max(EndpointSession.max_value, buffer_bytes // VALUES_AT_ONCE)
         self.pools: dict[EndpointKey, ConnectionPool] = {}  # emptied as endpoints leave the list
         self.open_count = 0  # with those on their way
         self.peak_count = 0
@@ -55,7 +55,7 @@
         self.attempts_per_connection = limits.attempts_per_connection
         # Half of the time after which an endpoint closes them at the latest: it may be earlier.
         self.retire_after = (DEFAULT_IDLE_TIMEOUT_S if idle_timeout is None else idle_timeout) / 2
-        self.report_fields = [REPORT_FIELD_NAMES.get(name, name) for name in settings.report_fields]
+        self.session = EndpointSession(settings.report_fields)
 
     def send(
         self,
@@ -119,7 +119,7 @@
         self, key: EndpointKey, name: str, timeout: float, on_result: Callable[[EndpointReply], None]
     ) -> None:
         """Send a PING; without an answer within ``timeout`` seconds it ends as timed out."""
-        attempt = self.send(key, name, lambda: PING, on_result, is_health_check=True)
+        attempt = self.send(key, name, lambda: self.session.health_check, on_result, is_health_check=True)
         if not attempt.done:
             attempt.timer = self.loop.call_later(timeout, attempt.give_up, Outcome.TIMED_OUT)
 
--- a/gatebank/recording/packet_writer.py
+++ b/gatebank/recording/packet_writer.py
@@ -12,7 +12,7 @@
 
 from gatebank.capture.layers import ACK
 from gatebank.capture.writing import Conversation, interface, packet, section
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 INTERFACES = {"customer": 0, "node": 1}
 MOST_MESSAGE = 4 << 20  # bytes of a message that is written anew: behind it its direction is left out
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -16,11 +16,11 @@
 from gatebank.proxy.control_plane import ControlPlaneWatches, read_initial_knowledge
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.dispatcher import Dispatcher
-from gatebank.proxy.downstream import CommandError, parse_request
-from gatebank.proxy.downstream.command import request_classes_by_name, tenants_by_name
 from gatebank.proxy.log import say
+from gatebank.proxy.messages import CommandError, request_classes_by_name, tenants_by_name
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.requests import RequestInFlight
+from gatebank.proxy.resp2.commands import parse_request
 from gatebank.proxy.service import RESERVED_DESCRIPTORS
 from gatebank.proxy.supervisor import run_forever
 from gatebank.proxy.upstream import Upstream
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -9,8 +9,8 @@
 import asyncio
 from collections import OrderedDict, deque
 
-from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address
+from gatebank.proxy.resp2 import codec as resp
 from gatebank.proxy.sockets import give_back, opened
 from gatebank.replay.player import Play, Player
 
--- a/tests/support/capture_builder.py
+++ b/tests/support/capture_builder.py
@@ -32,7 +32,7 @@
 from gatebank.capture.layers import ACK
 from gatebank.capture.reading import Reading
 from gatebank.capture.records import Exchange
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 START = 1_700_000_000_000_000_000
 LINKS = {"ethernet": 1, "vlan": 1, "qinq": 1, "raw": 101, "null": 0, "cooked": 113, "cooked2": 276}
--- a/tests/support/rehearsal.py
+++ b/tests/support/rehearsal.py
@@ -18,7 +18,7 @@
 from gatebank.capture import writing
 from gatebank.fakes.clients import invocation
 from gatebank.fakes.wire import command
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 from tests.support.capture_builder import START
 from tests.support.stand import PATIENCE, ROOT
 
--- a/tests/test_dispatch_invariants.py
+++ b/tests/test_dispatch_invariants.py
@@ -19,8 +19,9 @@
 from gatebank.proxy.clock import Clock
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.dispatcher import Dispatcher
-from gatebank.proxy.downstream import ClientRequest, RequestClassRef, parse_request
+from gatebank.proxy.messages import ClientRequest, RequestClassRef
 from gatebank.proxy.requests import RequestInFlight
+from gatebank.proxy.resp2.commands import parse_request
 from gatebank.proxy.upstream import Attempt, EndpointReply, Upstream
 from tests.support.connections import SETTINGS, Back, Said, until, value
 from tests.support.settings_factory import make_settings
--- a/tests/test_internal_faults.py
+++ b/tests/test_internal_faults.py
@@ -10,7 +10,8 @@
 from gatebank.proxy.clock import Clock
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.dispatcher import Dispatcher
-from gatebank.proxy.downstream import RequestClassRef, parse_request
+from gatebank.proxy.messages import RequestClassRef
+from gatebank.proxy.resp2.commands import parse_request
 from gatebank.proxy.upstream import Upstream
 from gatebank.settings import read_settings
 from tests.support.stand import PATIENCE, ROOT
--- a/tests/test_recordings.py
+++ b/tests/test_recordings.py
@@ -14,7 +14,7 @@
 
 from gatebank.capture.records import Exchange
 from gatebank.fakes.clients import invocation
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 from gatebank.recording import recorder as at_work
 from gatebank.recording.packet_writer import Hiding, Track, head
 from gatebank.recording.recorder import Recorder, Unrecordable
--- a/tests/test_replay_ledger.py
+++ b/tests/test_replay_ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from gatebank.capture.records import Exchange
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 from gatebank.replay import entries
 from gatebank.replay.entries import Damaged, Entry, Kind
 from gatebank.replay.guard import Guard, Refused
