--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -43,7 +43,7 @@
 from gatebank.proxy.clock import Clock
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.downstream.replies import ReplySink
-from gatebank.proxy.event_queue import Arguments, Event, EventQueue
+from gatebank.proxy.event_queue import Event, EventQueue
 from gatebank.proxy.fleet_view import FleetView
 from gatebank.proxy.log import LOG, say
 from gatebank.proxy.messages import ClientRequest, CommandError, EndpointReply
@@ -70,6 +70,7 @@
         max_in_flight_bytes: Bound on requests in flight; beyond it they are rejected.
 
     Attributes:
+        dispatch: Gives the balancer an event in its turn.
         requests: Those in flight.
         fleet: What the control plane said last.
         counts: Numbers of what happened, by the names that the log line on how things stand uses.
@@ -95,6 +96,7 @@
         self.balancer = Balancer(settings, seed, clock())
         self.peer_transport: PeerTransport | None = None
         self.events = EventQueue(self.balancer, clock, self.carry_out, self.rescue)
+        self.dispatch = self.events.dispatch
         self.fleet = FleetView(registry)
         self.requests = RequestTable(max_in_flight_bytes)
         self.counts: dict[str, int] = {}  # as many as there are kinds of outcomes and answers
@@ -104,10 +106,6 @@
 
     # Events, one at a time.
 
-    def dispatch(self, method: Callable[[*Arguments], None], *arguments: *Arguments) -> None:
-        """Give the balancer an event in its turn; see `EventQueue`."""
-        self.events.dispatch(method, *arguments)
-
     def rescue(self, event: Event) -> None:
         """An event failed: if it was about a request, that has its final answer now."""
         subject = event.arguments[0] if event.arguments else None
@@ -234,7 +232,7 @@
         if self.upstream.record:
             label = f"invocation {request.client_request.id.decode(errors='replace')} shot {number}"
         attempt = self.upstream.send(
-            self.fleet.key(endpoint),
+            self.fleet.keys[endpoint_index],
             self.registry.names[endpoint_index],
             started.payload,
             started.on_result,
@@ -295,7 +293,7 @@
         """The endpoint list, or what has changed of it."""
         self.fleet.update(endpoints, is_complete)
         self.dispatch(self.balancer.on_endpoint_list, endpoints, is_complete)
-        self.upstream.retain(self.fleet.keys())
+        self.upstream.retain(set(self.fleet.keys.values()))
         self.registry.retain(self.fleet.endpoints)
 
     def on_release_status(self, status: ReleaseStatus) -> None:
@@ -373,7 +371,7 @@
             return
         self.count("probes")
         name = self.registry.names[endpoint_index]
-        self.upstream.check_health(self.fleet.key(endpoint), name, self.health_timeout, on_result)
+        self.upstream.check_health(self.fleet.keys[endpoint_index], name, self.health_timeout, on_result)
 
     def on_health_result(self, endpoint_index: int, outcome: Outcome) -> None:
         """How a health check ended."""
--- a/gatebank/proxy/event_queue.py
+++ b/gatebank/proxy/event_queue.py
@@ -4,8 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TypeVarTuple
+from typing import NamedTuple, TypeVarTuple
 
 from gatebank.actions import Action
 from gatebank.balancer import Balancer
@@ -15,8 +14,7 @@
 Arguments = TypeVarTuple("Arguments")
 
 
-@dataclass(slots=True, frozen=True)
-class Event:
+class Event(NamedTuple):
     """A method to call and what with: the balancer's, or one of the dispatcher's that calls it."""
 
     method: Callable[..., None]
--- a/gatebank/proxy/fleet_view.py
+++ b/gatebank/proxy/fleet_view.py
@@ -14,12 +14,14 @@
 
     Attributes:
         endpoints: By index; none that is gone.
+        keys: Which process each of them is, by index.
         release_status: None before the first.
     """
 
     def __init__(self, registry: EndpointRegistry) -> None:
         self.registry = registry
         self.endpoints: dict[int, Endpoint] = {}
+        self.keys: dict[int, EndpointKey] = {}
         self.release_status: ReleaseStatus | None = None
 
     def update(self, endpoints: Iterable[Endpoint], is_complete: bool) -> None:
@@ -30,16 +32,13 @@
         self.endpoints = {
             index: endpoint for index, endpoint in current.items() if endpoint.condition is not Condition.GONE
         }
+        self.keys = {index: self.key(endpoint) for index, endpoint in self.endpoints.items()}
 
     def key(self, endpoint: Endpoint) -> EndpointKey:
         """Which process a listed endpoint is."""
         address = self.registry.addresses[endpoint.index]
         return EndpointKey(endpoint.index, address, endpoint.build, endpoint.started)
 
-    def keys(self) -> set[EndpointKey]:
-        """All processes that are listed."""
-        return {self.key(endpoint) for endpoint in self.endpoints.values()}
-
     def cap(self, build: int) -> float:
         """The share of traffic that a build may take: below 1 for the newest before it is released."""
         status = self.release_status
--- a/gatebank/proxy/messages.py
+++ b/gatebank/proxy/messages.py
@@ -43,7 +43,7 @@
     return {tenant.name: index for index, tenant in enumerate(settings.tenants)}
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)  # not frozen: one is made for each request, and a frozen one takes three times as long
 class ClientRequest:
     """A request as a client wrote it, copied: it outlives the buffer, as it may need several attempts.
 
@@ -72,8 +72,7 @@
         raise NotImplementedError
 
 
-@dataclass(slots=True, frozen=True)
-class EndpointReply:
+class EndpointReply(NamedTuple):
     """How an attempt ended and what the endpoint said.
 
     Attributes:
--- a/gatebank/proxy/requests.py
+++ b/gatebank/proxy/requests.py
@@ -18,13 +18,15 @@
     Attributes:
         number: The balancer's name for it, used again once it is settled.
         deadline: In the clock's seconds.
+        size: Bytes that it takes, about.
         attempts: By their number; None for one that has ended or was never sent.
         attempts_out: Attempts whose result the balancer has not been given yet.
         answered: The final answer is out, or nobody waits for it any more.
     """
 
     __slots__ = (
-        "answered", "attempts", "attempts_out", "client_request", "deadline", "number", "reply", "timer",
+        "answered", "attempts", "attempts_out", "client_request", "deadline", "number", "reply", "size",
+        "timer",
     )  # fmt: skip
 
     def __init__(self, number: int, client_request: ClientRequest, reply: ReplySink, deadline: float) -> None:
@@ -32,16 +34,12 @@
         self.client_request = client_request
         self.reply = reply
         self.deadline = deadline
+        self.size = client_request.size + ROW_BYTES
         self.attempts: list[Attempt | None] = []
         self.attempts_out = 0
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
 
-    @property
-    def size(self) -> int:
-        """Bytes that it takes, about."""
-        return self.client_request.size + ROW_BYTES
-
 
 class RequestTable:
     """The requests in flight, within ``max_bytes``.
--- a/gatebank/proxy/resp2/commands.py
+++ b/gatebank/proxy/resp2/commands.py
@@ -43,7 +43,7 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Resp2Request(ClientRequest):
     """A request that goes to endpoints as it came, but for the figure of ``d``."""
 
