--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -30,7 +30,7 @@
 from benchmarks.fleet import Fleet, LoadResult
 from benchmarks.harness import BASE_REVISION, ROOT, Spread, in_turn, other_revision
 from gatebank.fakes.clients import random_request
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 PORT = 6379
 SEED = 7
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -8,7 +8,7 @@
 
 from gatebank.capture import writing
 from gatebank.fakes.clients import random_request
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 START_NS = 1_700_000_000_000_000_000
 STEP_NS = 500_000  # between a request and its reply
--- a/gatebank/__main__.py
+++ b/gatebank/__main__.py
@@ -12,9 +12,11 @@
 
 import typer
 
-from gatebank import __version__
-from gatebank.proxy import discovery, log, service
+from gatebank import __version__, composition
+from gatebank.proxy import log
 from gatebank.proxy.configuration import ConfigurationError, load_configuration
+from gatebank.proxy.control_plane import read_initial_knowledge
+from gatebank.proxy.discovery import EndpointRegistry
 
 if TYPE_CHECKING:
     from gatebank.operator_config.operators_file import OperatorsFile
@@ -79,7 +81,7 @@
     log.begin(log_level)
     environment = environment_with(configuration)
     try:
-        service.serve(load_configuration(environment), environment, read_operators_file(orders))
+        composition.serve(load_configuration(environment), environment, read_operators_file(orders))
     except ConfigurationError as error:
         fail(error)
 
@@ -90,14 +92,14 @@
     operators_file = read_operators_file(orders)
     try:
         found = load_configuration(environment_with(configuration))
-        service.at_start(found, discovery.EndpointRegistry(found.settings))
+        read_initial_knowledge(found, EndpointRegistry(found.settings))
     except ConfigurationError as error:
         fail(error)
     host, port = found.listen
-    request_classes = ", ".join(str(request_class.name) for request_class in found.settings.request_classes)
+    request_classes = ", ".join(each.name for each in found.settings.request_classes)
     print(f"{found.name}: listens on {host}:{port}; workloads {request_classes}")
     if operators_file:
-        sections = ", ".join(section.section for section, _ in operators_file.sections)
+        sections = ", ".join(placed.section.section for placed in operators_file.sections)
         print(f"{orders}: {sections or 'no sections'}")
 
 
--- a/gatebank/capture/pairing.py
+++ b/gatebank/capture/pairing.py
@@ -20,7 +20,7 @@
 from gatebank.capture.records import Exchange
 from gatebank.capture.responses import PairedResponse, record_response
 from gatebank.capture.transactions import DEFAULT_TIMEOUT_NS, ExchangeCollector, timeout_ns
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 # ns behind its deadline in which a response still comes: delays, and differences between clocks.
 RESPONSE_SLACK_NS = 2_000_000_000
--- a/gatebank/capture/resp2.py
+++ b/gatebank/capture/resp2.py
@@ -11,7 +11,7 @@
 from gatebank.capture.pairing import Pairing
 from gatebank.capture.records import Exchange
 from gatebank.capture.transactions import ExchangeCollector
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 COMMAND_START = re.compile(rb"\*[1-9]\d?\r\n\$\d{1,2}\r\n(?:Q\.(?:ASK|DO)|PING)\r\n", re.IGNORECASE)
 MAX_COMMAND_START = 32  # bytes of COMMAND_START: it may lie across two segments
--- a/gatebank/capture/responses.py
+++ b/gatebank/capture/responses.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from gatebank.capture.records import Exchange, ExchangeOutcome
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 BUSY = b"BUSY"  # an instance that rejects adds after how many ms to try again; an endpoint does not
 ENDPOINT_ERROR = b"ERR failed"  # an endpoint's load report stands behind it
--- a/gatebank/cli/capture/replay.py
+++ b/gatebank/cli/capture/replay.py
@@ -158,9 +158,9 @@
         configuration = load_configuration(environment)
     except ConfigurationError as error:
         raise CommandLineError(error) from error
-    if configuration.roll is None:
+    if configuration.discovery is None:
         raise CommandLineError("it names no discovery", options.inside)
-    return ReplayTarget(configuration.roll, configuration)
+    return ReplayTarget(configuration.discovery, configuration)
 
 
 def survey_capture(source: CaptureSource, selection: ExchangeFilter) -> Survey:
--- a/gatebank/recording/redaction.py
+++ b/gatebank/recording/redaction.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 
 from gatebank.capture.records import BODY, PARAMETERS
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 
 MAX_MESSAGE_BYTES = (
     4 << 20
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -12,14 +12,19 @@
 
 from gatebank.capture.records import Exchange
 from gatebank.events import Endpoint
+from gatebank.proxy.clock import Clock
 from gatebank.proxy.configuration import Configuration
+from gatebank.proxy.control_plane import ControlPlaneWatches, read_initial_knowledge
 from gatebank.proxy.discovery import EndpointRegistry
-from gatebank.proxy.dispatcher import Clock, Dispatcher, RequestInFlight
-from gatebank.proxy.downstream import ClientRequest, CommandError
+from gatebank.proxy.dispatcher import Dispatcher
 from gatebank.proxy.log import say
+from gatebank.proxy.messages import CommandError, request_classes_by_name, tenants_by_name
 from gatebank.proxy.release_service import ReleaseService
-from gatebank.proxy.service import ALSO, ControlPlaneWatches, at_start, kept
-from gatebank.proxy.upstream import Nodes
+from gatebank.proxy.requests import RequestInFlight
+from gatebank.proxy.resp2.commands import parse_request
+from gatebank.proxy.service import RESERVED_DESCRIPTORS
+from gatebank.proxy.supervisor import run_forever
+from gatebank.proxy.upstream import Upstream
 from gatebank.replay.guard import address_text
 from gatebank.replay.player import Player
 from gatebank.replay.requests import ReplayedRequest, ReplayOutcome
@@ -36,27 +41,27 @@
         request: The request that it is for.
 
     Attributes:
-        held: The dispatcher's request; None before there is one.
+        request: The dispatcher's; None before there is one.
     """
 
-    __slots__ = ("_request", "_transport", "held")
+    __slots__ = ("_replayed", "_transport", "request")
 
     def __init__(self, transport: InProcessTransport, request: ReplayedRequest) -> None:
-        self.held: RequestInFlight | None = None
+        self.request: RequestInFlight | None = None
         self._transport = transport
-        self._request = request
+        self._replayed = request
 
-    def satisfied(self, value: memoryview) -> None:
+    def serve(self, value: memoryview) -> None:
         """The request was served."""
-        self._transport.finish(self._request, ReplayOutcome.SERVED)
+        self._transport.finish(self._replayed, ReplayOutcome.SERVED)
 
-    def rejected(self, back_in: float | None) -> None:
-        """The request was rejected; ``back_in``: in how many s to try again."""
-        self._transport.finish(self._request, ReplayOutcome.REJECTED, back_in)
+    def reject(self, retry_after: float | None) -> None:
+        """The request was rejected; ``retry_after``: in how many s to try again."""
+        self._transport.finish(self._replayed, ReplayOutcome.REJECTED, retry_after)
 
-    def broken_off(self, why: str) -> None:
+    def fail(self, reason: str) -> None:
         """The request failed."""
-        self._transport.finish(self._request, ReplayOutcome.FAILED)
+        self._transport.finish(self._replayed, ReplayOutcome.FAILED)
 
 
 class RehearsalDispatcher(Dispatcher):
@@ -70,15 +75,15 @@
     live: Collection[str] = ()
     left_out = 0
 
-    def rolled(self, entries: list[Endpoint], whole: bool) -> None:
-        """Takes an endpoint list; see `Dispatcher.rolled`."""
-        addresses = self.register.addresses
-        allowed = [entry for entry in entries if address_text(addresses[entry.index]) not in self.live]
-        if len(allowed) < len(entries):
-            left_out = len(entries) - len(allowed)
+    def on_endpoint_list(self, endpoints: list[Endpoint], is_complete: bool) -> None:
+        """Takes an endpoint list; see `Dispatcher.on_endpoint_list`."""
+        addresses = self.registry.addresses
+        allowed = [each for each in endpoints if address_text(addresses[each.index]) not in self.live]
+        if len(allowed) < len(endpoints):
+            left_out = len(endpoints) - len(allowed)
             self.left_out += left_out
             say("live_nodes_left_out", nodes=left_out)
-        super().rolled(allowed, whole)
+        super().on_endpoint_list(allowed, is_complete)
 
 
 class InProcessTransport:
@@ -95,38 +100,39 @@
         self._slots: dict[ReplayedRequest, ResponseSlot] = {}  # each goes with its response
         settings = configuration.settings
         clock = Clock()
-        register = EndpointRegistry(settings)
+        registry = EndpointRegistry(settings)
         dispatcher = RehearsalDispatcher(
-            settings, configuration.seed, clock, register, configuration.bounds.commands
+            settings, configuration.seed, clock, registry, configuration.bounds.commands
         )
         dispatcher.live = live
         self._dispatcher = dispatcher
-        max_connections = (configuration.descriptors - ALSO) // 2
-        self._nodes = Nodes(settings, max_connections, configuration.bounds.buffers)
-        dispatcher.nodes = self._nodes
-        self._request_classes = {
-            each.name: (index, each.retry_safety) for index, each in enumerate(settings.request_classes)
-        }
-        self._tenants = {each.name: index for index, each in enumerate(settings.tenants)}
-        kinds = {name: index for name, (index, _) in self._request_classes.items()}
-        patience = settings.release.vote_timeout
+        max_connections = (configuration.descriptors - RESERVED_DESCRIPTORS) // 2
+        self._upstream = Upstream(settings, max_connections, configuration.bounds.buffers)
+        dispatcher.upstream = self._upstream
+        self._request_classes = request_classes_by_name(settings)
+        self._tenants = tenants_by_name(settings)
         self._release_service = ReleaseService(
-            configuration.desk, register, patience, clock, dispatcher.told, kinds
+            configuration.release_service,
+            registry,
+            settings.release.vote_timeout,
+            clock,
+            dispatcher.on_release_status,
+            request_classes=self._request_classes,
         )
-        dispatcher.desk = self._release_service
-        endpoints, version, news = at_start(configuration, register)
-        dispatcher.start(endpoints, news)
-        self._watches = ControlPlaneWatches(dispatcher, register, self._release_service)
+        dispatcher.release_service = self._release_service
+        endpoints, version, status = read_initial_knowledge(configuration, registry)
+        dispatcher.start(endpoints, status)
+        self._watches = ControlPlaneWatches(dispatcher, registry, self._release_service)
         self._watches.move(configuration, version)
-        self._sweeper = asyncio.ensure_future(kept("sweep", self._sweep))
+        self._sweeper = asyncio.ensure_future(run_forever("sweep", self._sweep))
 
     async def ready(self, patience: float = 10.0) -> bool:
         """Waits until it knows an endpoint that it may send to; False after ``patience`` s without one."""
         for _ in range(round(patience / READY_POLL)):  # the dispatcher has no event for it
-            if self._dispatcher.entries:
+            if self._dispatcher.fleet.endpoints:
                 return True
             await asyncio.sleep(READY_POLL)
-        return bool(self._dispatcher.entries)
+        return bool(self._dispatcher.fleet.endpoints)
 
     def refusal(self, _: Exchange) -> str:
         """See `RequestTransport.refusal`; there is always room."""
@@ -136,7 +142,7 @@
         """See `RequestTransport.send`."""
         words = [memoryview(argument) for argument in request.arguments]
         try:
-            client_request = ClientRequest(words, self._request_classes, self._tenants)
+            client_request = parse_request(words, self._request_classes, self._tenants)
         except CommandError as error:
             self._player.report.counts["senseless"] += 1
             say("senseless", why=error)
@@ -145,7 +151,7 @@
         slot = ResponseSlot(self, request)
         self._slots[request] = slot
         try:
-            self._dispatcher.invoked(client_request, slot)  # type: ignore[arg-type]
+            self._dispatcher.start_request(client_request, slot)
         except CommandError:  # the id is in flight, which ours never are
             self.finish(request, ReplayOutcome.NEVER_SENT)
 
@@ -159,17 +165,17 @@
     def give_up(self, request: ReplayedRequest) -> None:
         """See `RequestTransport.give_up`: as a client that closes its connection."""
         slot = self._slots.pop(request, None)
-        if slot and slot.held and not slot.held.answered:
-            self._dispatcher.forget(slot.held, "left")
+        if slot and slot.request and not slot.request.answered:
+            self._dispatcher.forget(slot.request, "left")
 
     def close(self) -> None:
         """See `RequestTransport.close`."""
         self._sweeper.cancel()
         self._watches.close()
-        self._nodes.close()
+        self._upstream.close()
         self._release_service.close()
 
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
-            self._nodes.sweep()
+            self._upstream.sweep()
--- a/gatebank/replay/section.py
+++ b/gatebank/replay/section.py
@@ -35,7 +35,7 @@
         try:
             address(self.address, "address")
         except ConfigurationError as error:
-            yield "address", str(error).rpartition(": ")[2]
+            yield "address", error.reason
         if self.keeps_tickets and not self.rehearsal:
             yield "keeps_tickets", "only a rehearsal target gets ticketed invocations: rehearsal is not set"
         if self.rehearsal and self.live_rerunnable:
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -13,8 +13,8 @@
 from typing import NamedTuple
 
 from gatebank.capture.records import Exchange
-from gatebank.proxy import resp
 from gatebank.proxy.configuration import Address
+from gatebank.proxy.resp2 import codec as resp
 from gatebank.proxy.sockets import give_back, opened
 from gatebank.replay.player import Player
 from gatebank.replay.requests import ReplayedRequest, ReplayOutcome
--- a/gatebank/state_transfer/local_state.py
+++ b/gatebank/state_transfer/local_state.py
@@ -35,14 +35,14 @@
 
     def __init__(self, dispatcher: Dispatcher, name: str, half_lives: HalfLives) -> None:
         self.dispatcher = dispatcher
-        self.balancer = dispatcher.marshal
+        self.balancer = dispatcher.balancer
         self.clock = dispatcher.clock
         self.name = name
         self.deployment = deployment_id(dispatcher.settings)
         self.incarnation = int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
         self.received = 0
         self.began = self.clock()
-        self.names = IndexNames(dispatcher.settings, dispatcher.register.names)
+        self.names = IndexNames(dispatcher.settings, dispatcher.registry.names)
         self.origin = Origin(name, self.incarnation)
         self.inherited = InheritedKnowledge(self.balancer.state, self.names, self.origin, half_lives)
         # Attempts and requests of the last exposure window are applied once: twice they would count twice.
@@ -91,7 +91,7 @@
         if self.window_applied:
             state = replace(state, sent=(), accepted=(), window_known=False)
         self.window_applied = self.window_applied or state.window_known
-        self.dispatcher.turn(self.balancer.apply_inherited_state, state)
+        self.dispatcher.dispatch(self.balancer.apply_inherited_state, state)
         self.restrain(merged.release)
 
     def restrain(self, report: ReleaseReport | None) -> None:
@@ -102,4 +102,4 @@
             own = OwnRelease(status.build, int(status.phase), status.cap)
         if tighter := strictly_tighter(report, own):
             say("learnt_news", logging.WARNING, build=tighter.build, phase=tighter.phase, by=tighter.origin)
-            self.dispatcher.told(release_status(tighter))
+            self.dispatcher.on_release_status(release_status(tighter))
--- a/gatebank/state_transfer/section.py
+++ b/gatebank/state_transfer/section.py
@@ -101,7 +101,7 @@
             try:
                 host, _ = address(each, name)
             except ConfigurationError as error:
-                yield name, str(error).rpartition(": ")[2]
+                yield name, error.reason
                 continue
             if self.plain and not ip_address(host).is_loopback:
                 yield "plain", f"{each} is no loopback address: only there a link goes without TLS"
--- a/tests/test_recordings.py
+++ b/tests/test_recordings.py
@@ -15,7 +15,7 @@
 
 from gatebank.capture.records import Exchange
 from gatebank.fakes.clients import random_request
-from gatebank.proxy import resp
+from gatebank.proxy.resp2 import codec as resp
 from gatebank.recording import output as recording_output
 from gatebank.recording.errors import RecordingError
 from gatebank.recording.packet_writer import ConnectionWriter, file_header
