--- a/gatebank/core/traffic.py
+++ b/gatebank/core/traffic.py
@@ -42,16 +42,16 @@
     """
 
     def __init__(self) -> None:
-        self.arrivals = SlidingWindow()
-        self.accepted = SlidingWindow()
-        self.first_tries = SlidingWindow()
-        self.served = SlidingWindow()
+        self.arrivals: SlidingWindow[int] = SlidingWindow()
+        self.accepted: SlidingWindow[int] = SlidingWindow()
+        self.first_tries: SlidingWindow[None] = SlidingWindow()
+        self.served: SlidingWindow[int] = SlidingWindow()
         self.finished: deque[FinishedAttempt] = deque()
-        self.sent: dict[int, SlidingWindow] = {}
+        self.sent: dict[int, SlidingWindow[int]] = {}
         self.rate = 0.0
         self.steady_rate = 0.0
 
-    def sent_to(self, build: int) -> SlidingWindow:
+    def sent_to(self, build: int) -> SlidingWindow[int]:
         """The window of attempts at a build."""
         window = self.sent.get(build)
         if window is None:
