--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -4,7 +4,7 @@
 in `actions`, in order; it empties that list itself. This module only sequences: what an instance knows is in
 `gatebank.core`, every decision in `gatebank.policy`. The way of one request:
 
-    on_request ─► _advance ─► policy.request_path.next_step ─► StartAttempt | StartTimer | final answer
+    on_request ─► _advance ─► policy.retry.next_step ─► StartAttempt | StartTimer | final answer
     on_attempt_result ─► what the result teaches ─► _advance
     on_timer(RequestTimer) ─► _advance
 """
--- a/gatebank/composition.py
+++ b/gatebank/composition.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from gatebank.proxy import service
@@ -36,50 +36,63 @@
 
 
 def optional_parts(operators: OperatorsFile | None) -> OptionalParts:
-    """What the operators' file switches on."""
+    """What the operators' file switches on.
+
+    Its modules are imported here, before the balancer's clock starts: `cryptography` alone takes longer than
+    the balancer's first tick, which would look like a process that does not get its turn.
+    """
     if operators is None:
         return OptionalParts()
     return OptionalParts(
-        make_recorder=lambda configuration: make_recorder(configuration, operators),
-        make_state_transfer=lambda configuration, dispatcher: make_state_transfer(
-            configuration, dispatcher, operators
-        ),
+        make_recorder=recorder_maker(operators),
+        make_state_transfer=state_transfer_maker(operators),
     )
 
 
-def make_recorder(configuration: Configuration, operators: OperatorsFile) -> Recorder | None:
-    """The recorder, started, if the operators' file has a section for it."""
-    from gatebank.recording.errors import RecordingError
-    from gatebank.recording.recorder import Recorder
+def recorder_maker(operators: OperatorsFile) -> Callable[[Configuration], Recorder | None]:
+    """Makes the recorder, started, if the operators' file has a section for it."""
     from gatebank.recording.section import Recording
 
     section = operators.find(Recording)
     if section is None:
-        return None
-    try:
-        recorder = Recorder(section, operators.folder, configuration.name)
-        recorder.start()
-    except RecordingError as error:
-        raise ConfigurationError(str(error), path=str(operators.path)) from error
-    return recorder
-
-
-def make_state_transfer(
-    configuration: Configuration, dispatcher: Dispatcher, operators: OperatorsFile
-) -> StateTransfer | None:
-    """State transfer between instances, listening, if the operators' file has a section for it."""
+        return lambda _: None
+    from gatebank.recording.errors import RecordingError
+    from gatebank.recording.recorder import Recorder
+
+    def make(configuration: Configuration) -> Recorder:
+        try:
+            recorder = Recorder(section, operators.folder, configuration.name)
+            recorder.start()
+        except RecordingError as error:
+            raise ConfigurationError(str(error), path=str(operators.path)) from error
+        return recorder
+
+    return make
+
+
+def state_transfer_maker(
+    operators: OperatorsFile,
+) -> Callable[[Configuration, Dispatcher], StateTransfer | None]:
+    """Makes state transfer between instances, listening, if the operators' file has a section for it."""
     from gatebank.state_transfer.section import StateTransferSection
 
     section = operators.find(StateTransferSection)
     if section is None:
-        return None
+        return lambda *_: None
     from gatebank.keys.section import KeysSection
-    from gatebank.state_transfer.session import StateTransfer
-
-    try:
-        keys_section = operators.find(KeysSection)
-        transfer = StateTransfer(section, keys_section, operators.folder, dispatcher, configuration.name)
-        transfer.listen()
-    except ConfigurationError as error:
-        raise error.at(str(operators.path)) from error
-    return transfer
+    from gatebank.state_transfer import session
+
+    keys_section = operators.find(KeysSection)
+    if session.needs_keys(section):
+        from gatebank.state_transfer import peer_keys  # noqa: F401  # what `session` imports where it is needed
+
+    def make(configuration: Configuration, dispatcher: Dispatcher) -> StateTransfer:
+        name = configuration.name
+        try:
+            transfer = session.StateTransfer(section, keys_section, operators.folder, dispatcher, name)
+            transfer.listen()
+        except ConfigurationError as error:
+            raise error.at(str(operators.path)) from error
+        return transfer
+
+    return make
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -158,7 +158,7 @@
             self.listen()
             if not self.state_transfer:
                 self.watches.move(self.configuration, version)
-            self.start_tasks(reloader)
+            self.start_tasks(stack, reloader)
             gc.collect()
             gc.freeze()  # what stands from the start need not be looked at again
             say("ready", name=self.configuration.name, nodes=len(self.dispatcher.fleet.endpoints))
@@ -231,8 +231,9 @@
         except OSError as error:
             raise ConfigurationError(f"{host}:{port}: {error.strerror}") from error
 
-    def start_tasks(self, reloader: Reloader) -> None:
+    def start_tasks(self, stack: AsyncExitStack, reloader: Reloader) -> None:
         """Start what runs as long as the instance does; the names stand in log lines of faults."""
+        stack.callback(self.supervisor.close)
         self.supervisor.start("accept", self.downstream.accept)
         self.supervisor.start("tend", self.sweep)
         self.supervisor.start("look", self.downstream.check_clocks)
--- a/gatebank/state_transfer/session.py
+++ b/gatebank/state_transfer/session.py
@@ -119,6 +119,11 @@
         }
 
 
+def needs_keys(section: StateTransferSection) -> bool:
+    """Returns whether connections are made, and with TLS."""
+    return not section.plain and bool(section.listen or section.sources)
+
+
 def load_keys(
     section: StateTransferSection, keys_section: KeysSection | None, folder: Path
 ) -> PeerKeys | None:
@@ -127,7 +132,7 @@
     Raises:
         ConfigurationError: keys are missing, or can't be used.
     """
-    if section.plain or not (section.listen or section.sources):
+    if not needs_keys(section):
         return None
     if keys_section is None:
         raise ConfigurationError("learning: a section keys(...) is needed, or plain = True on loopback")
