--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -68,7 +68,7 @@
         """Give the load all replies that are complete."""
         inbox = resp.Inbox.over(self.data + data)
         for reply in inbox.replies():
-            self.load.replied(self, reply.mark == "$", self.due.popleft())
+            self.load.replied(self, reply.type_byte == "$", self.due.popleft())
         self.data = bytes(inbox.data[inbox.start :])
 
 
--- a/gatebank/capture/pairing.py
+++ b/gatebank/capture/pairing.py
@@ -128,8 +128,8 @@
         if not self.state.is_on_probation or exchange.is_reported:
             self._complete(PairedResponse(exchange, reply, at, packet))
             return
-        words = [word if word is None else memoryview(bytes(word)) for word in reply.words]
-        self._held.append(PairedResponse(exchange, resp.Reply(reply.mark, words), at, packet))
+        values = [word if word is None else memoryview(bytes(word)) for word in reply.values]
+        self._held.append(PairedResponse(exchange, resp.Reply(reply.type_byte, values), at, packet))
         if len(self._held) > MAX_HELD_PAIRS:
             self._reject_held()
 
--- a/gatebank/capture/resp2.py
+++ b/gatebank/capture/resp2.py
@@ -252,7 +252,7 @@
         """A command that is not complete is reported with what is known of it."""
         inbox = resp.Inbox.over(rest, self._collector.limits.max_message_bytes)
         try:
-            arguments = inbox.words_so_far()
+            arguments = inbox.values_so_far()
         except resp.ProtocolError:
             return
         if arguments and arguments[0].upper() in REQUEST_COMMANDS:
--- a/gatebank/capture/responses.py
+++ b/gatebank/capture/responses.py
@@ -11,7 +11,7 @@
 ENDPOINT_ERROR = b"ERR failed"  # an endpoint's load report stands behind it
 # Places of an endpoint's response: the value, an unused word, the load report.
 LOAD_REPORT = 2
-ENDPOINT_WORDS = 3
+ENDPOINT_VALUES = 3
 
 
 class PairedResponse(NamedTuple):
@@ -39,20 +39,20 @@
     exchange.answered_at = at
     exchange.whole = True
     exchange.last_packet = packet
-    value = reply.words[0] if reply.words else None
-    if reply.mark in "$*" and value is not None:
+    value = reply.values[0] if reply.values else None
+    if reply.type_byte in "$*" and value is not None:
         exchange.ended = ExchangeOutcome.SERVED
         exchange.value_bytes = len(value)
-        if len(reply.words) == ENDPOINT_WORDS and (load_report := reply.words[LOAD_REPORT]) is not None:
+        if len(reply.values) == ENDPOINT_VALUES and (load_report := reply.values[LOAD_REPORT]) is not None:
             exchange.load_report = bytes(load_report)
-        return "node" if reply.mark == "*" else "customer"
-    return _record_error(exchange, reply.mark, bytes(value or b""))
+        return "node" if reply.type_byte == "*" else "customer"
+    return _record_error(exchange, reply.type_byte, bytes(value or b""))
 
 
-def _record_error(exchange: Exchange, mark: str, line: bytes) -> str | None:
-    """Enters a response without a value; its first byte is ``mark``."""
+def _record_error(exchange: Exchange, type_byte: str, line: bytes) -> str | None:
+    """Enters a response without a value; its first byte is ``type_byte``."""
     exchange.reply_line = line
-    is_error = mark == "-"
+    is_error = type_byte == "-"
     if is_error and line.startswith(BUSY):
         exchange.ended = ExchangeOutcome.REJECTED
         return None if line == BUSY else "customer"
--- a/gatebank/proxy/fleet_view.py
+++ b/gatebank/proxy/control_plane_view.py
@@ -9,7 +9,7 @@
 from gatebank.proxy.upstream import EndpointKey
 
 
-class FleetView:
+class ControlPlaneView:
     """The endpoints and the release status as told last.
 
     Attributes:
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -41,10 +41,10 @@
 )
 from gatebank.peer_messages import PeerMessage
 from gatebank.proxy.clock import Clock
+from gatebank.proxy.control_plane_view import ControlPlaneView
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.downstream.replies import ReplySink
 from gatebank.proxy.event_queue import Event, EventQueue
-from gatebank.proxy.fleet_view import FleetView
 from gatebank.proxy.log import LOG, say
 from gatebank.proxy.messages import ClientRequest, CommandError, EndpointReply
 from gatebank.proxy.peer_transport import PeerTransport
@@ -97,7 +97,7 @@
         self.peer_transport: PeerTransport | None = None
         self.events = EventQueue(self.balancer, clock, self.carry_out, self.rescue)
         self.dispatch = self.events.dispatch
-        self.fleet = FleetView(registry)
+        self.fleet = ControlPlaneView(registry)
         self.requests = RequestTable(max_in_flight_bytes)
         self.counts: dict[str, int] = {}  # as many as there are kinds of outcomes and answers
         self.lag = 0.0
--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -10,7 +10,7 @@
 >>> [[bytes(word) for word in command] for command in inbox.commands()]
 [[b'PING']]
 >>> inbox.put(b"*3\r\n$2\r\nok\r\n$-1\r\n$6\r\nutil=1\r\n-BUSY\r\n$")
->>> [(r.mark, [w and bytes(w) for w in r.words]) for r in inbox.replies()]
+>>> [(r.type_byte, [w and bytes(w) for w in r.values]) for r in inbox.replies()]
 [('*', [b'ok', None, b'util=1']), ('-', [b'BUSY'])]
 
 Cut anywhere, it is the same:
@@ -18,7 +18,7 @@
 >>> found, inbox = [], Inbox()
 >>> for byte in b"*2\r\n$2\r\nok\r\n$-1\r\n+PONG\r\n$4\r\n\r\n\r\n\r\n":
 ...     inbox.put(bytes([byte]))
-...     found += [(reply.mark, [word and bytes(word) for word in reply.words]) for reply in inbox.replies()]
+...     found += [(r.type_byte, [w and bytes(w) for w in r.values]) for r in inbox.replies()]
 >>> found
 [('*', [b'ok', None]), ('+', [b'PONG']), ('$', [b'\r\n\r\n'])]
 """
@@ -33,7 +33,7 @@
 __all__ = ["MAX_VALUE", "Allowance", "Inbox", "ProtocolError", "Reply", "bulk", "bulks", "command"]
 
 MAX_VALUE = 64 * 1024  # bytes a value may hold: PROTOCOL; nodes are seen to give more
-MAX_WORDS = 16  # in one message; the protocol's longest has five
+MAX_VALUES = 16  # in one message; the protocol's longest has five
 MAX_LINE = 4096  # an error line, or a length
 MAX_LENGTH_LINE = 16  # bytes of a line that tells a length
 MAX_BLANK = 64  # bytes of blank lines before a command
@@ -50,8 +50,8 @@
         words: The strings in it; None for a null.
     """
 
-    mark: str
-    words: list[memoryview | None]
+    type_byte: str
+    values: list[memoryview | None]
 
 
 class Inbox:
@@ -84,7 +84,7 @@
         r"""Read bytes that are at hand already and stay as they are: nothing is copied, nothing read into it.
 
         >>> inbox = Inbox.over(b"*1\r\n$9\r\nPIN")
-        >>> list(inbox.commands()), inbox.needs, inbox.words_so_far()
+        >>> list(inbox.commands()), inbox.needs, inbox.values_so_far()
         ([], 19, [])
         """
         self = cls.__new__(cls)
@@ -184,21 +184,21 @@
 
     def array(self, min_length: int) -> tuple[list[memoryview | None], int] | None:
         """The array at the start, and where the next message begins; None if it is not whole."""
-        if not (found := self.size(self.start, 0, MAX_WORDS)):
+        if not (found := self.size(self.start, 0, MAX_VALUES)):
             return None
         count, at = found
-        words: list[memoryview | None] = []
+        values: list[memoryview | None] = []
         for _ in range(count):
             if not (bulk := self.bulk(at, min_length)):
                 return None
-            words.append(bulk[0])
+            values.append(bulk[0])
             at = bulk[1]
-        return words, at
+        return values, at
 
-    def words_so_far(self) -> list[bytes]:
+    def values_so_far(self) -> list[bytes]:
         """The whole words of a command that is not whole."""
         found: list[bytes] = []
-        if self.held and (count := self.size(self.start, 0, MAX_WORDS)):
+        if self.held and (count := self.size(self.start, 0, MAX_VALUES)):
             at = count[1]
             try:
                 while len(found) < count[0] and (bulk := self.bulk(at, 0)):
@@ -222,45 +222,45 @@
                 raise ProtocolError("a command is an array of bulk strings")
             if not (found := self.array(0)):
                 return
-            words, self.start = found
-            if words:
+            values, self.start = found
+            if values:
                 blank = 0
-                yield words  # type: ignore[misc]  # no nulls: the minimum length is 0
+                yield values  # type: ignore[misc]  # no nulls: the minimum length is 0
 
     def replies(self) -> Iterator[Reply]:
         """The whole answers read so far."""
         while self.start < self.end:
-            mark = chr(self.data[self.start])
-            if mark == "*":
+            type_byte = chr(self.data[self.start])
+            if type_byte == "*":
                 if not (found := self.array(-1)):
                     return
-                words, self.start = found
-            elif mark == "$":
+                values, self.start = found
+            elif type_byte == "$":
                 if not (bulk := self.bulk(self.start, -1)):
                     return
-                words, self.start = [bulk[0]], bulk[1]
-            elif mark in "+-:":
+                values, self.start = [bulk[0]], bulk[1]
+            elif type_byte in "+-:":
                 if not (line := self.line(self.start + 1)):
                     return
-                words = [memoryview(self.data)[self.start + 1 : line[0]]]
+                values = [memoryview(self.data)[self.start + 1 : line[0]]]
                 self.start = line[1]
             else:
                 raise ProtocolError("an answer begins with no known mark")
-            yield Reply(mark, words)
+            yield Reply(type_byte, values)
 
 
-def command(words: Sequence[bytes | memoryview]) -> bytes:
+def command(values: Sequence[bytes | memoryview]) -> bytes:
     r"""Encode a command.
 
     >>> command([b"PING"])
     b'*1\r\n$4\r\nPING\r\n'
     """
-    return b"*%d\r\n" % len(words) + bulks(words)
+    return b"*%d\r\n" % len(values) + bulks(values)
 
 
-def bulks(words: Sequence[bytes | memoryview]) -> bytes:
+def bulks(values: Sequence[bytes | memoryview]) -> bytes:
     """Encode bulk strings, one behind the other."""
-    return b"".join(part for word in words for part in bulk(word))
+    return b"".join(part for word in values for part in bulk(word))
 
 
 def bulk(value: bytes | memoryview) -> tuple[bytes, bytes | memoryview, bytes]:
--- a/gatebank/proxy/resp2/endpoint_replies.py
+++ b/gatebank/proxy/resp2/endpoint_replies.py
@@ -27,11 +27,11 @@
     Raises:
         ProtocolError: No reply to an attempt has this form.
     """
-    words = reply.words
-    if reply.mark == "*" and len(words) == 3 and words[0] is not None and words[1] is None:
-        return EndpointReply(Outcome.SUCCESS, words[0], parse_load_report(words[2], report_fields))
-    if reply.mark == "-" and words[0] is not None:
-        text = bytes(words[0])
+    values = reply.values
+    if reply.type_byte == "*" and len(values) == 3 and values[0] is not None and values[1] is None:
+        return EndpointReply(Outcome.SUCCESS, values[0], parse_load_report(values[2], report_fields))
+    if reply.type_byte == "-" and values[0] is not None:
+        text = bytes(values[0])
         match text.split(b" ")[0]:
             case b"BUSY" | b"SYNTAX":  # neither has run it
                 return EndpointReply(Outcome.REJECTED)
@@ -43,7 +43,7 @@
 
 def parse_health_reply(reply: codec.Reply) -> EndpointReply:
     """Read the reply to a health check: any simple string is a sign of life."""
-    return EndpointReply(Outcome.SUCCESS if reply.mark == "+" else Outcome.ERROR)
+    return EndpointReply(Outcome.SUCCESS if reply.type_byte == "+" else Outcome.ERROR)
 
 
 def parse_load_report(
--- a/gatebank/recording/redaction.py
+++ b/gatebank/recording/redaction.py
@@ -75,17 +75,17 @@
 
     def reply(self, reply: resp.Reply) -> bytes:
         """The response as it stands in the file, with its framing."""
-        if reply.mark == "*":
-            return self._array(reply.words)
-        word = reply.words[0]
-        if reply.mark == "$":
+        if reply.type_byte == "*":
+            return self._array(reply.values)
+        word = reply.values[0]
+        if reply.type_byte == "$":
             return NULL if word is None else b"".join(resp.bulk(self.value(bytes(word))))
-        return reply.mark.encode() + bytes(word or b"") + b"\r\n"
+        return reply.type_byte.encode() + bytes(word or b"") + b"\r\n"
 
-    def _array(self, words: list[memoryview | None]) -> bytes:
+    def _array(self, values: list[memoryview | None]) -> bytes:
         """An endpoint's response: its first word is the value."""
-        parts: list[bytes | memoryview] = [b"*%d\r\n" % len(words)]
-        for place, word in enumerate(words):
+        parts: list[bytes | memoryview] = [b"*%d\r\n" % len(values)]
+        for place, word in enumerate(values):
             if word is None:
                 parts.append(NULL)
             else:
--- a/gatebank/replay/sockets.py
+++ b/gatebank/replay/sockets.py
@@ -46,11 +46,11 @@
     >>> [(outcome.value, after) for outcome, after in map(interpret_reply, replies)]
     [('rejected', 0.25), ('rejected', None), ('broken_off', None)]
     """
-    first = reply.words[0] if reply.words else None
-    if reply.mark in "$*" and first is not None:
+    first = reply.values[0] if reply.values else None
+    if reply.type_byte in "$*" and first is not None:
         return ResponseMeaning(ReplayOutcome.SERVED, None)
     line = bytes(first or b"")
-    if reply.mark != "-" or not line.startswith(BUSY):
+    if reply.type_byte != "-" or not line.startswith(BUSY):
         return ResponseMeaning(ReplayOutcome.FAILED, None)
     milliseconds = line[len(BUSY) + 1 :]
     if not milliseconds.isdigit() or len(milliseconds) > MAX_RETRY_AFTER_DIGITS:
