--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -145,9 +145,7 @@
         whole = all(type(number) is int and number >= 0 for number in (cell, build))
         if not isinstance(name, str) or not name or not whole:
             raise ValueError(f"{name!r} has no name, or a number that is none")
-        if not all(
-            type(number) in (int, float) and 0 <= number < MAX_NUMBER for number in (started_ms, weight)
-        ):
+        if not (is_number(started_ms) and is_number(weight)):
             raise ValueError(f"{name!r} has a number that is none")
         is_gone = condition is Condition.GONE and not instance.get("hostPort")
         return ListEntry(
--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -46,8 +46,8 @@
     """One answer.
 
     Attributes:
-        mark: Its first byte, which tells its type.
-        words: The strings in it; None for a null.
+        type_byte: Its first byte, which tells its type.
+        values: The strings in it; None for a null.
     """
 
     type_byte: str
