--- a/gatebank/capture/connections.py
+++ b/gatebank/capture/connections.py
@@ -77,6 +77,20 @@
         """Bytes from the next byte to deliver on to that number, modulo 2^32."""
         return (sequence - self.next_sequence) & SEQUENCE_MASK
 
+    def missing_before(self, sequence: int) -> int:
+        """Bytes before that number that are still to be delivered; 0 while no number is known."""
+        if self.next_sequence == UNKNOWN:
+            return 0
+        ahead = self.distance(sequence)
+        return ahead if ahead < HALF_SEQUENCE_SPACE else 0
+
+    def has_delivered(self, segment: WaitingSegment) -> bool:
+        """Whether all bytes of a segment have been delivered, or given up."""
+        if self.next_sequence == UNKNOWN:
+            return False
+        seen = (self.next_sequence - segment.sequence) & SEQUENCE_MASK
+        return len(segment.payload) + segment.missing <= seen <= HALF_SEQUENCE_SPACE
+
     def advance(self, size: int) -> None:
         """Moves on over so many bytes, delivered or given up."""
         self.next_sequence = (self.next_sequence + size) & SEQUENCE_MASK
@@ -177,23 +191,46 @@
         """How many bytes of the other direction it acknowledges that have not been delivered."""
         if segment.ack == UNKNOWN:
             return 0
-        missing = self.directions[1 - segment.side].distance(segment.ack)
-        return missing if missing < HALF_SEQUENCE_SPACE else 0
+        return self.directions[1 - segment.side].missing_before(segment.ack)
+
+    def learn_starts(self, segment: WaitingSegment, has_bytes: bool) -> None:
+        """Learns from a segment where directions begin whose SYN was not seen.
+
+        Only one in order tells it. One from further ahead, such as a copy that the capture has too early,
+        acknowledges bytes that are still to come, and says nothing of where these begin.
+
+        Args:
+            segment: What came, at its own time or from those that wait.
+            has_bytes: It has payload, or a FIN, so its number is that of bytes to deliver.
+        """
+        direction = self.directions[segment.side]
+        other = self.directions[1 - segment.side]
+        if has_bytes and direction.next_sequence == UNKNOWN and not self.missing_acknowledged(segment):
+            direction.next_sequence = segment.sequence
+        if other.next_sequence == UNKNOWN and direction.next_sequence in (UNKNOWN, segment.sequence):
+            other.next_sequence = segment.ack  # the receiver has all before this: it is never sent again
 
     def fits(self, segment: WaitingSegment) -> bool:
         """Whether nothing is missing any more that this segment waits for."""
-        ahead = self.directions[segment.side].distance(segment.sequence)
-        if 0 < ahead < HALF_SEQUENCE_SPACE:
+        direction = self.directions[segment.side]
+        if direction.next_sequence == UNKNOWN and self._has_earlier(segment):
+            return False
+        if direction.missing_before(segment.sequence):
             return False
         return not self.missing_acknowledged(segment)
 
+    def _has_earlier(self, segment: WaitingSegment) -> bool:
+        """Whether another waiting segment of the same side begins before this one."""
+        return any(
+            other.side == segment.side and is_behind(other.sequence, segment.sequence)
+            for other in self.waiting
+        )
+
     def lacks_received_bytes(self, segment: WaitingSegment) -> bool:
         """Whether what the segment waits for was received, and so is lacking in the capture."""
         direction = self.directions[segment.side]
-        if direction.acked_sequence != UNKNOWN:
-            received = direction.distance(direction.acked_sequence)
-            if 0 < received < HALF_SEQUENCE_SPACE:
-                return True
+        if direction.acked_sequence != UNKNOWN and direction.missing_before(direction.acked_sequence):
+            return True
         return self.missing_acknowledged(segment) > 0
 
     def first_to_force(self) -> WaitingSegment:
@@ -217,10 +254,13 @@
         if end == UNKNOWN:
             return None
         direction = self.directions[side]
-        limit = direction.distance(end)
-        if limit >= HALF_SEQUENCE_SPACE:
-            return None
+        limit = direction.missing_before(end)
         for segment in self.waiting:
             if segment.side == side and direction.distance(segment.sequence) < limit:
                 return segment
         return None
+
+
+def is_behind(sequence: int, other: int) -> bool:
+    """Whether a sequence number is before another one."""
+    return (sequence - other) & SEQUENCE_MASK >= HALF_SEQUENCE_SPACE
--- a/gatebank/capture/reassembly.py
+++ b/gatebank/capture/reassembly.py
@@ -23,6 +23,7 @@
     DirectionState,
     EndReason,
     WaitingSegment,
+    is_behind,
 )
 from gatebank.capture.limits import ReadingLimits
 from gatebank.capture.segments import ACK, FIN, RST, SYN, Segment
@@ -235,18 +236,18 @@
         sequence = segment.sequence
         if flags & SYN:
             sequence = direction.learn_syn(sequence)
-        if flags & ACK:
-            other.acked_sequence = segment.ack
-            if other.next_sequence == UNKNOWN:
-                other.next_sequence = segment.ack  # the receiver has all before this: it is never sent again
+        ack = segment.ack if flags & ACK else UNKNOWN
+        arrived = WaitingSegment(side, sequence, segment.payload, segment.missing, ack, at, connection.packet)
+        has_bytes = bool(segment.payload) or segment.missing > 0
+        if UNKNOWN in (direction.next_sequence, other.next_sequence):
+            connection.learn_starts(arrived, has_bytes or bool(flags & FIN))
+        if ack != UNKNOWN:
+            other.acked_sequence = ack
         if flags & RST:
             self._end(connection, at, EndReason.RESET)
             return
-        has_bytes = bool(segment.payload) or segment.missing > 0
-        if direction.next_sequence == UNKNOWN and (has_bytes or flags & FIN):
-            direction.next_sequence = sequence
         if has_bytes:
-            self._take_in_payload(connection, side, sequence, segment, at)
+            self._take_in_payload(connection, arrived)
         elif connection.waiting:
             self._deliver_waiting(connection, at)
         if flags & FIN:
@@ -254,18 +255,15 @@
         if UNKNOWN not in (direction.fin_sequence, other.fin_sequence):
             self._end_if_complete(connection, at)
 
-    def _take_in_payload(
-        self, connection: Connection, side: int, sequence: int, segment: Segment, at: int
-    ) -> None:
+    def _take_in_payload(self, connection: Connection, segment: WaitingSegment) -> None:
         """Delivers the payload if it is the next in order; otherwise it waits."""
-        ack = segment.ack if segment.flags & ACK else UNKNOWN
-        if not connection.waiting and sequence == connection.directions[side].next_sequence:
+        side = segment.side
+        if not connection.waiting and segment.sequence == connection.directions[side].next_sequence:
             acknowledged_next = connection.directions[1 - side].next_sequence
-            if ack in (UNKNOWN, acknowledged_next) or _is_behind(ack, acknowledged_next):
-                self._deliver(connection, side, at, segment.payload, segment.missing)
+            if segment.ack in (UNKNOWN, acknowledged_next) or is_behind(segment.ack, acknowledged_next):
+                self._deliver(connection, side, segment.at, segment.payload, segment.missing)
                 return
-        waiting = WaitingSegment(side, sequence, segment.payload, segment.missing, ack, at, connection.packet)
-        self._wait(connection, waiting)
+        self._wait(connection, segment)
 
     def _end_if_complete(self, connection: Connection, at: int) -> None:
         """Ends a connection whose two FINs were seen once all bytes before them are here."""
@@ -296,12 +294,12 @@
     # Waiting segments.
 
     def _wait(self, connection: Connection, segment: WaitingSegment) -> None:
-        ahead = connection.directions[segment.side].distance(segment.sequence)
-        size = len(segment.payload) + segment.missing
-        if ahead >= HALF_SEQUENCE_SPACE and SEQUENCE_MASK + 1 - ahead >= size:
-            self.counts.sent_again += 1  # all of it has been delivered
+        direction = connection.directions[segment.side]
+        ahead = direction.missing_before(segment.sequence)
+        if direction.has_delivered(segment):
+            self.counts.sent_again += 1
             return
-        if MAX_AHEAD_BYTES < ahead < HALF_SEQUENCE_SPACE:
+        if ahead > MAX_AHEAD_BYTES:
             self.counts.given_up_gap += 1
             return
         for other in connection.waiting:
@@ -309,7 +307,7 @@
             if is_same and len(other.payload) >= len(segment.payload):
                 self.counts.sent_again += 1
                 return
-        if 0 < ahead < HALF_SEQUENCE_SPACE:
+        if ahead:
             self.counts.out_of_order += 1
         else:
             self.counts.held_for_order += 1
@@ -342,8 +340,7 @@
         segment = connection.first_to_force()
         if size := connection.missing_acknowledged(segment):
             self._skip(connection, 1 - segment.side, segment.at, size)
-        ahead = connection.directions[segment.side].distance(segment.sequence)
-        if 0 < ahead < HALF_SEQUENCE_SPACE:
+        if ahead := connection.directions[segment.side].missing_before(segment.sequence):
             self._skip(connection, segment.side, segment.at, ahead)
         self._deliver_from_waiting(connection, segment)
 
@@ -352,6 +349,7 @@
         connection.waiting.remove(segment)
         connection.waiting_bytes -= segment.held_bytes
         self.held_bytes -= segment.held_bytes
+        connection.learn_starts(segment, has_bytes=True)
         direction = connection.directions[segment.side]
         seen = (direction.next_sequence - segment.sequence) & SEQUENCE_MASK
         size = len(segment.payload)
@@ -364,8 +362,3 @@
         else:
             self.counts.sent_again += 1
         connection.packet = packet_at_hand
-
-
-def _is_behind(sequence: int, other: int) -> bool:
-    """Whether a sequence number is before another one."""
-    return (sequence - other) & SEQUENCE_MASK >= HALF_SEQUENCE_SPACE
