--- a/gatebank/fakes/endpoint.py
+++ b/gatebank/fakes/endpoint.py
@@ -122,8 +122,9 @@
             arguments = await read_command(reader)
         if arguments[0] == b"PING":
             await self.running.wait()
-            writer.write(b"+PONG\r\n")
-            return True
+            if not writer.is_closing():
+                writer.write(b"+PONG\r\n")
+            return not writer.is_closing()
         self.world.received.append((self.name, arguments))
         self.world.counts.count_received(self.address, arguments)
         self.world.notify()
@@ -160,11 +161,14 @@
         await asyncio.sleep(self.world.reply_time * random.uniform(0.5, 1.5))
         if kind in ("slow", "late"):
             await asyncio.sleep(float(amount))
+        if writer.is_closing():
+            return False
         writer.write(self.encoded_reply(kind, amount, arguments))
         await writer.drain()
         if kind == "twice_late":
             await asyncio.sleep(float(amount))
-            writer.write(self.encoded_reply(kind, amount, arguments))
+            if not writer.is_closing():
+                writer.write(self.encoded_reply(kind, amount, arguments))
         return kind not in ENDING
 
     def encoded_reply(self, kind: str, amount: str, arguments: list[bytes]) -> bytes:
--- a/tests/test_node_connection_races.py
+++ b/tests/test_node_connection_races.py
@@ -66,6 +66,25 @@
         assert there.ended["second"] == (Outcome.SUCCESS, b"second"), there.ended
 
 
+async def test_second_answer_while_descriptors_are_short_is_not_the_next_attempts() -> None:
+    """A second answer while every descriptor is in use.
+
+    With no descriptor left, an attempt was written behind one that was out, on the same connection. The
+    endpoint answers the first attempt twice; the second answer was taken for the next attempt's, whose client
+    was served with another's value. Found by the soak (seed 13, a crowd at 192 descriptors: request 0d15 was
+    served `endpoint-4 ...0cd1`; the records show both attempts at endpoint-4 and none of 0d15 answered there).
+    """
+    with closing(Back({"shots_per_connection": 4}, most=1)) as there:
+        there.shoot("first")
+        sock = await there.toy.accepted()
+        await there.toy.asked(sock, b"first")
+        there.shoot("second")
+        sock.send(value(b"first") + value(b"first"))
+        await until(lambda: len(there.ended) == 2)
+        assert there.ended["first"] == (Outcome.SUCCESS, b"first"), there.ended
+        assert there.ended["second"] == (Outcome.NO_CONNECTION, None), there.ended
+
+
 async def test_answer_read_as_its_time_runs_out_counts() -> None:
     """The rest of an answer as its time runs out.
 
