--- a/gatebank/proxy/upstream/connection.py
+++ b/gatebank/proxy/upstream/connection.py
@@ -1,6 +1,7 @@
-"""A connection to an endpoint.
+"""A connection to an endpoint, with one attempt out at a time.
 
-One attempt is out on a connection at a time; behind another one is written only when descriptors are short.
+Answers carry no id. An attempt written behind another would be served with whatever the endpoint sends too
+much for the first.
 """
 
 from __future__ import annotations
@@ -9,7 +10,6 @@
 import logging
 import socket
 import time
-from collections import deque
 from typing import TYPE_CHECKING
 
 from gatebank.events import Outcome
@@ -40,7 +40,7 @@
         super().__init__(upstream.loop, sock, inbox, recording)
         self.whole_replies = inbox.replies
         self.pool = pool
-        self.attempts: deque[Attempt] = deque()  # in the order written; emptied by replies, or by `close`
+        self.attempt: Attempt | None = None  # that is out; cleared by its reply, or by `close`
         self.idle_since = time.monotonic()
         self.rests_until = 0.0  # it has answered, and may do so twice
         self.abandoned = ""  # for the recording: which attempt was given up, and why
@@ -52,7 +52,7 @@
         if data is None:
             attempt.finish(EndpointReply(Outcome.NOT_SENT))
             return False
-        self.attempts.append(attempt)
+        self.attempt = attempt
         attempt.connection = self
         try:
             sent = self.sock.send(data)
@@ -96,14 +96,14 @@
                 if self.recording and recorded is not None:
                     self.recording.replied(recorded)
                 self.handle_replies()
-                if not self.attempts and not self.closed:
+                if not self.attempt and not self.closed:
                     if self.ended_behind_answer():
                         break
                     self.handling = False
                     self.pool.rest(self)
                 self.handling = False
         except ProtocolError as error:
-            idle = {} if self.attempts else {"idle": time.monotonic() - self.idle_since}
+            idle = {} if self.attempt else {"idle": time.monotonic() - self.idle_since}
             say("node_broken", logging.WARNING, node=self.pool.name, why=error, **idle)
         except OSError:
             pass
@@ -135,13 +135,13 @@
             self.close()
 
     def handle_replies(self) -> None:
-        """Give each whole reply to the attempt whose turn it is."""
+        """Give the whole reply to the attempt that is out."""
         for reply in self.whole_replies():
-            if not self.attempts or not self.attempts[0].written:
+            attempt = self.attempt
+            if not attempt or not attempt.written:
                 raise ProtocolError("it answered what was not asked")
-            attempt = self.attempts[0]
             result = self.session.interpret(reply, attempt.is_health_check)
-            self.attempts.popleft()
+            self.attempt = None
             attempt.finish(result)
 
     def ended_behind_answer(self) -> bool:
@@ -160,25 +160,12 @@
             raise ProtocolError("more came than one answer")
         return False
 
-    def can_share(self, max_attempts: int) -> bool:
-        """Tell whether one more attempt may be written behind what is out.
-
-        Not while a read is being used up: what lies behind an answer would be taken for the new attempt's.
-        """
-        busy = self.writer or self.is_being_read()
-        return not busy and len(self.attempts) < max_attempts
-
     def abandon(self, attempt: Attempt, outcome: Outcome) -> None:
-        """No answer to this attempt is wanted any more: close, unless others are out on the connection."""
+        """No answer to this attempt is wanted any more: close, so that nothing of it goes out or comes."""
         if self.recording and attempt.label:
             self.abandoned = f"{attempt.label} {outcome.value}"
-        if all(other.done or other is attempt for other in self.attempts):
-            self.attempts.clear()
-            self.close()
-        elif not attempt.written:  # its rest would go out behind its final answer: the others are cut instead
-            self.attempts.remove(attempt)
-            self.close()
-        # else others are out on it: what comes for this one is passed over
+        self.attempt = None
+        self.close()
 
     def close(self) -> None:
         """Give everything back; what was out has lost its connection, or was never sent whole."""
@@ -187,7 +174,8 @@
         self.closed = True
         self.pool.drop(self)
         self.release(ENDPOINT_SIDE, self.abandoned)
-        while self.attempts:
-            attempt = self.attempts.popleft()
+        attempt = self.attempt
+        self.attempt = None
+        if attempt:
             outcome = Outcome.CONNECTION_LOST if attempt.written else Outcome.NO_CONNECTION
             attempt.finish(EndpointReply(outcome))
--- a/gatebank/proxy/upstream/pools.py
+++ b/gatebank/proxy/upstream/pools.py
@@ -28,7 +28,7 @@
     """Owns the pools, and the tasks that open connections.
 
     Args:
-        settings: Time limits, attempts for each connection, names of load report fields.
+        settings: Time limits, names of load report fields.
         max_connections: Descriptors that endpoints' connections may take.
         buffer_bytes: What all receive buffers may grow by together.
     """
@@ -52,7 +52,6 @@
         self.opened_total = 0  # since the start
         self.opening: set[asyncio.Task[None]] = set()  # each goes when its connection is up or not
         self.connect_timeout = DEFAULT_CONNECT_TIMEOUT_S if connect_timeout is None else connect_timeout
-        self.attempts_per_connection = limits.attempts_per_connection
         # Half of the time after which an endpoint closes them at the latest: it may be earlier.
         self.retire_after = (DEFAULT_IDLE_TIMEOUT_S if idle_timeout is None else idle_timeout) / 2
         self.session = EndpointSession(settings.report_fields)
@@ -67,7 +66,7 @@
         is_health_check: bool = False,
         label: str = "",
     ) -> Attempt:
-        """Begin an attempt, on an idle connection, a new one, or behind another attempt, in this order.
+        """Begin an attempt, on an idle connection, a new one, or the next that is free, in this order.
 
         Args:
             key: The process it goes to.
@@ -87,7 +86,7 @@
         elif self.open_count < self.max_connections or self.close_longest_idle():
             self.open_connection(pool, attempt)
         else:
-            self.share_connection(pool, attempt)
+            self.wait_for_connection(pool, attempt)
         return attempt
 
     def open_connection(self, pool: ConnectionPool, attempt: Attempt) -> None:
@@ -101,13 +100,9 @@
         self.opening.add(task)
         task.add_done_callback(self.opening.discard)
 
-    def share_connection(self, pool: ConnectionPool, attempt: Attempt) -> None:
-        """No descriptor is left: behind another attempt, or wait for a connection, or fail."""
-        limit = self.attempts_per_connection
-        shareable = [each for each in pool.connections if each.attempts and each.can_share(limit)]
-        if shareable:
-            min(shareable, key=lambda connection: len(connection.attempts)).write(attempt)
-        elif pool.connecting or pool.idle:
+    def wait_for_connection(self, pool: ConnectionPool, attempt: Attempt) -> None:
+        """No descriptor is left: wait for one of the pool's connections; where it has none, fail."""
+        if pool.connections or pool.connecting:
             pool.waiting.append(attempt)
             if pool.idle:
                 self.loop.call_later(REST_S, pool.on_rested)
