--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -29,7 +29,7 @@
 EXTRA_S = 0.05  # every time limit is so much longer on sockets (PROTOCOL)
 # An answer up to so long after its time earns nothing, and only one still later is lost (STANDING). Counted
 # so for what meets a crowd alone: reading 281 first requests takes an instance 0.24 s of its core (trace of
-# seeds 5 and 7: the late answers were rejections of requests with 20 ms left, read 0.2 s after they had come).
+# seeds 5 and 7: rejections of requests with 20 ms left, read 0.2 s after they had come).
 CROWD_LATE_S = 0.5
 AFTER_CLOSE_S = 0.1  # an attempt begins no later behind the client's close (STANDING)
 REMAINING_SLACK_S = 0.15  # an attempt tells at most what is left to the client, with so much slack (STANDING)
