--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -139,6 +139,12 @@
             spare_attempts=domain["spare-tries"],
             exposure_window=domain["exposure-window-ms"] / 1000,
             key_window={each["name"]: each["window-ms"] / 1000 for each in self.settings["classes"]},
+            unrejectable_classes=frozenset(
+                each["name"]
+                for each in self.settings["classes"]
+                if each["semantics"] == "single_shot"
+                or (each["semantics"] == "guarded" and each["group"] != "all")
+            ),
             longest_deadline=min(3.0, max(deadlines)),
             endpoint_capacity=ENDPOINT_CORES / self.site.reply_time,
             memory_bytes=MEMORY_MB * 1024 * 1024,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -190,6 +190,7 @@
     spare_attempts: int
     exposure_window: float
     key_window: Mapping[str, float]
+    unrejectable_classes: frozenset[str]  # that may not be rejected once an attempt may have run
     longest_deadline: float
     endpoint_capacity: float  # requests a second that a warm stand-in is taken to bear
     memory_bytes: int
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,102 @@
+"""The soak: some seeds played, and its counting, by instances that break one rule each."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from tests.soak.play import play
+from tests.soak.schedule import Clients, Fault, FaultKind, Schedule, Site, draw_schedule
+
+pytestmark = pytest.mark.uvloop
+
+SEEDS = (1, 2, 3, 4, 5, 6)  # the same each time; the long run is started by hand
+LOAD_S = 6.0
+SITE = Site(
+    instances=2,
+    endpoints=4,
+    reply_time=0.02,
+    can_cancel=True,
+    may_duplicate=True,
+    may_check_health=True,
+    may_message_peers=True,
+    connection_idle_ms=1000,
+    attempts_per_connection=1,
+    descriptors=512,
+    endpoint_idle_timeout=1.0,
+)
+CLIENTS = Clients(
+    per_instance=10,
+    pause=0.05,
+    in_pieces=0.0,
+    pipelined=0.0,
+    leaving=0.0,
+    stopping=0.0,
+    short_of_time=0.0,
+    large=0.0,
+)
+QUIET = Schedule(seed=0, load_seconds=3.0, site=SITE, clients=CLIENTS, odd_replies=0.0, faults=())
+LEAVING = replace(QUIET, clients=replace(CLIENTS, leaving=0.05))
+SLOW = replace(QUIET, site=replace(SITE, reply_time=0.05))
+RARE = replace(QUIET, clients=replace(CLIENTS, per_instance=30, pause=1.0))
+STOPPING = replace(QUIET, clients=replace(CLIENTS, stopping=0.02))
+
+
+def with_fault(
+    kind: FaultKind, seconds: float = 0.5, detail: str = "", load: float = 3.0, schedule: Schedule = QUIET
+) -> Schedule:
+    """A quiet play with one fault."""
+    return replace(schedule, load_seconds=load, faults=(Fault(0.5, kind, 0, seconds, detail),))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_no_rule_is_broken(seed: int, tmp_path: Path) -> None:
+    """A seed of the soak with a shorter load."""
+    result = await play(draw_schedule(seed, LOAD_S), tmp_path)
+    assert result.is_clean, "\n".join([f"traces: {tmp_path}", *result.breaks, result.problem])
+    assert result.requests > 100
+
+
+async def test_quiet_play_breaks_no_rule(tmp_path: Path) -> None:
+    """What the broken instances below are played with breaks nothing by itself."""
+    result = await play(QUIET, tmp_path)
+    assert result.is_clean, "\n".join([*result.breaks, result.problem])
+
+
+@pytest.mark.parametrize(
+    ("fault", "rule", "schedule"),
+    [
+        ("lose_answers", "lost", QUIET),
+        ("answer_twice", "answer to nothing", QUIET),
+        ("give_anothers_answer", "another's answer", QUIET),
+        ("answer_late", "late", QUIET),
+        ("send_after_close", "attempt after the end", LEAVING),
+        ("send_twice", "effect twice", QUIET),
+        ("reject_served", "rejected after it ran", QUIET),
+        ("ignore_drains", "drain", with_fault(FaultKind.ENDPOINT_DRAIN, load=4.5)),
+        ("flood_cold_endpoints", "cold endpoint", with_fault(FaultKind.ENDPOINT_RESTART, schedule=SLOW)),
+        ("exceed_cap", "exposure", with_fault(FaultKind.CANARY, detail="good")),
+        ("tell_too_long_a_time", "too long a time told", QUIET),
+        ("crash", "crash", QUIET),
+        ("start_slowly", "not ready", QUIET),
+        ("leak_descriptors", "descriptors not given back", QUIET),
+        ("leak_memory", "memory not given back", QUIET),
+        ("ignore_partial_commands", "late", STOPPING),
+        ("close_at_sigterm", "lost", with_fault(FaultKind.INSTANCE_RESTART)),
+        ("fall_silent_at_sigterm", "lost", with_fault(FaultKind.INSTANCE_RESTART, schedule=RARE)),
+    ],
+)
+async def test_broken_instance_is_found(fault: str, rule: str, schedule: Schedule, tmp_path: Path) -> None:
+    """An instance that breaks a rule, in one request of a hundred where that is possible, is found."""
+    command = f"exec {sys.executable} -m tests.soak.broken_instance {fault}"
+    result = await play(schedule, tmp_path, command)
+    assert rule in result.rules_broken, "\n".join([str(result), *result.breaks, result.problem])
+
+
+def test_schedule_comes_from_the_seed_alone() -> None:
+    """The same seed gives the same schedule, another one another."""
+    assert draw_schedule(3) == draw_schedule(3)
+    assert len({str(draw_schedule(seed)) for seed in range(20)}) == 20
