--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -293,3 +293,26 @@
         assert front.door.seen == [1, 2]
         for client in early:
             client.sock.close()
+
+
+async def test_request_due_just_before_sigkill_is_rejected() -> None:
+    """After SIGTERM, a request whose time ends as SIGKILL may come.
+
+    It was forwarded whenever its deadline lay before the earliest SIGKILL, by no matter how little: an instance
+    that heard SIGTERM some milliseconds late, or is held up for up to 0.15 s (STANDING) as the deadline passes,
+    is killed with it unanswered, and it is lost (PROTOCOL). Found by reading for the soak's restarts.
+    """
+    loop = asyncio.get_running_loop()
+    held_up = 0.15
+    with closing(Front()) as front:
+        client, _ = await front.client()
+        for number, (timeout, served) in enumerate(((0.9, False), (0.9 - held_up - 0.2, True)), start=1):
+            front.clients.terminated_at = loop.time() - front.clients.kill_after + 0.9 + held_up / 2
+            client.sock.send(request(number, int(timeout * 1000)))
+            if not served:
+                await client.reads(b"-BUSY\r\n")
+                continue
+            await until(lambda: front.door.open)
+            front.door.answer_all()
+            await client.reads(b"$5\r\nfor 2\r\n")
+        client.sock.close()
