--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -158,7 +158,8 @@
         reply.request_id = request.id
         request.timeout -= self.waited
         is_over = request.timeout <= 0 or self.client_has_gone
-        if is_over or self.downstream.time_left() < request.timeout:  # it might meet SIGKILL
+        time_left = self.downstream.time_left() - limits.KILL_MARGIN_S
+        if is_over or time_left < request.timeout:  # it might meet SIGKILL
             reply.reject(None)  # it has run nowhere yet
         else:
             self.downstream.handler.start_request(request, reply)
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -40,6 +40,9 @@
 # KILL_GRACE_S; what comes later than KILL_GRACE_S and is unanswered then is lost (PROTOCOL).
 MAX_COUNTED_DEADLINE_S = 3.0
 KILL_GRACE_S = 0.7
+KILL_MARGIN_S = (
+    0.15  # before that a deadline lies at the latest: an instance may be held up so long (STANDING)
+)
 LAST_READ_S = 0.5  # before that a connection that was never idle is read no more: twice LINGER_S
 
 BROKEN_LOG_INTERVAL_S = 1.0  # between log lines on what is no command: a flood would fill the log
