--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -97,9 +97,9 @@
     def now(self, now: float) -> None:
         """Set the present, before each event.
 
-        An instance that missed its ticks did not run: its host paused it or gave its core to others. What came
-        meanwhile comes all at once and shows no late answers, no silence of endpoints or fusers and no due
-        fallback.
+        An instance that missed its ticks did not run: its host paused it or gave its core to others. What
+        came meanwhile comes all at once and shows no late answers, no silence of endpoints or fusers and no
+        due fallback.
         """
         state = self.state
         if now > state.now + measurement.STALL_TICKS * measurement.TICK_S:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -120,6 +120,8 @@
             "streams-per-conn": site.attempts_per_connection,
         }
         settings["domain"] |= {"api-rate": 100}
+        settings["registry-mode"] = "ask" if site.asks_for_lists else "push"
+        settings["invariants"] |= {"ask-within-ms": 1000 * LISTED_TOLD_S}
         settings["balancers"] = site.instances
         return settings
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -107,6 +107,7 @@
     attempts_per_connection: int
     descriptors: int
     endpoint_idle_timeout: float
+    asks_for_lists: bool  # discovery is asked, at a price; else an agent on the same machine is told
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +161,7 @@
         attempts_per_connection=generator.choice((1, 8)),
         descriptors=generator.choice((192, 256)) if is_crowded else generator.choice((256, 1024)),
         endpoint_idle_timeout=generator.choice((0.5, 1.0)),
+        asks_for_lists=generator.random() < 0.3,
     )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
     attempts_per_connection=1,
     descriptors=512,
     endpoint_idle_timeout=1.0,
+    asks_for_lists=False,
 )
 CLIENTS = Clients(
     per_instance=10,
