--- a/gatebank/policy/rollout.py
+++ b/gatebank/policy/rollout.py
@@ -61,12 +61,12 @@
     test = state.test
     if test is None:
         return None
-    fusers_are_silent = state.now - state.fleet.last_fuser_message_at >= FUSER_SILENCE_S
-    if fusers_are_silent or state.settings.instance in fusers(state.settings.instance_count):
-        groups = state.endpoints.groups
-        endpoints = groups.by_build.get(test.build, ())
-        warm = groups.warm_count(endpoints, state.now, state.settings.slow_start.warm_up)
-        return test.verdict(state.now, len(endpoints), warm)
+    is_fuser = state.settings.instance in fusers(state.settings.instance_count)
+    if is_fuser or state.now - state.fleet.last_fuser_message_at >= FUSER_SILENCE_S:
+        endpoints = state.endpoints.groups.by_build.get(test.build, ())
+        warm = state.endpoints.groups.warm_count(endpoints, state.now, state.settings.slow_start.warm_up)
+        own = test.verdict(state.now, len(endpoints), warm)
+        return None if many and not is_fuser and own is Verdict.NONE else own  # what they found stands
     report = state.fleet.report
     same = report and (report.build, report.stage) == (short_build(test.build), test.sums.stage)
     return Verdict(report.verdict) if many and report and same else None
@@ -90,7 +90,8 @@
         due = voting.leaning_since + _turn(state, max(1, needed.get(verdict, 1)), many=many)
     if verdict is not Verdict.ROLL_BACK:
         due = max(due, voting.voted_at + VOTE_EVERY_S)
-    nothing_to_say = verdict is Verdict.NONE and standing is not Verdict.PROMOTE
+    in_vain = verdict is Verdict.PROMOTE and not policy.promote_votes  # stages advance by the clock
+    nothing_to_say = in_vain or (verdict is Verdict.NONE and standing is not Verdict.PROMOTE)
     return None if state.now < due or nothing_to_say else verdict
 
 
