--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -258,6 +258,9 @@
         counts: dict[str, int | str] = {
             name.replace(" ", "_"): number for name, number in sorted(dispatcher.counts.items())
         }
+        if test := dispatcher.balancer.state.test:
+            counts["trial"] = f"{test.build}/{test.sums.stage}"
+            counts["sums"] = str([round(total, 1) for total in test.sums.fused])
         for part in self.switched_on():
             counts.update(part.standing())
         log_event(
