--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -36,7 +36,7 @@
     ReleaseNews,
 )
 from tests.soak.schedule import Schedule
-from tests.support.stand import ROOT, InstanceProcess
+from tests.support.instance_process import ROOT, InstanceProcess
 
 BASE_BUILD = 41
 CANARY_BUILD = 42
