--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,66 @@
+"""How instances are started, and what the system says of their processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+from tests.soak.records import ProcessUsage
+from tests.support.instance_process import ROOT
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+def blocks_hangup(pid: int) -> bool:
+    """Whether a process has blocked SIGHUP."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    blocked = next(int(line.split()[1], 16) for line in lines if line.startswith("SigBlk:"))
+    return bool(blocked >> (signal.SIGHUP - 1) & 1)
+
+
+def now_ms() -> int:
+    """Unix time in milliseconds."""
+    return int(time.time() * 1000)
+
+
+def deployed_command() -> str:
+    """How the deploy file starts an instance, by the interpreter that runs this."""
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    command: str = deploy["run"]
+    return command.replace(".venv/bin/python", sys.executable)
+
+
+async def answers_ping(host: str, port: int) -> bool:
+    """Whether PING is answered there now."""
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    try:
+        writer.write(PING)
+        return await asyncio.wait_for(reader.readline(), 1.0) == b"+PONG\r\n"
+    except (OSError, TimeoutError):
+        return False
+    finally:
+        writer.close()
+
+
+def process_usage(instance: int, pid: int) -> ProcessUsage:
+    """What the system says of a process.
+
+    Raises:
+        OSError: There is no such process any more.
+    """
+    folder = Path(f"/proc/{pid}")
+    lines = (folder / "status").read_text().splitlines()
+    fields = dict(line.split(":", 1) for line in lines if ":" in line)
+    resident, peak = (int(fields[name].split()[0]) * 1024 for name in ("VmRSS", "VmHWM"))
+    return ProcessUsage(instance, len(os.listdir(folder / "fd")), resident, peak)
--- /dev/null
+++ b/tests/soak/site_settings.py
@@ -0,0 +1,67 @@
+"""The settings of a play's site, and the figures of them that the rules are counted by."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from tests.soak.records import Limits
+from tests.soak.schedule import Site
+from tests.support.instance_process import ROOT
+
+ENDPOINT_CORES = 2  # requests that a warm stand-in is taken to work on at once
+MEMORY_MB = 192
+LISTED_TOLD_S = 6.0  # after which a change counts as told, where discovery could be reached (STANDING)
+
+
+def example() -> dict[str, Any]:
+    """The example's configuration."""
+    found: dict[str, Any] = json.loads((ROOT / "examples/marshal.json").read_text())
+    return found
+
+
+def make_settings(site: Site) -> dict[str, Any]:
+    """The example's settings with this site's sizes and permissions."""
+    settings: dict[str, Any] = example()["settings"]
+    settings["limits"] |= {
+        "cancel": site.can_cancel,
+        "may-duplicate": site.may_duplicate,
+        "probes": site.may_check_health,
+        "peers": site.may_message_peers,
+        "conn-idle-ms": site.connection_idle_ms,
+        "streams-per-conn": site.attempts_per_connection,
+    }
+    settings["domain"] |= {"api-rate": 100}
+    settings["registry-mode"] = "ask" if site.asks_for_lists else "push"
+    settings["invariants"] |= {"ask-within-ms": 1000 * LISTED_TOLD_S}
+    settings["balancers"] = site.instances
+    return settings
+
+
+def make_limits(site: Site, settings: dict[str, Any]) -> Limits:
+    """The figures of the settings that the rules are counted by."""
+    invariants = settings["invariants"]
+    domain = settings["domain"]
+    deadlines = [each["deadline-ms"] / 1000 for each in settings["classes"]]
+    return Limits(
+        answer_slack=invariants["answer-slack-ms"] / 1000,
+        drain_grace=invariants["drain-grace-ms"] / 1000,
+        fall_multiple=invariants["fall-multiple"],
+        fall_window=invariants["tip-after-ms"] / 1000,
+        start_capacity=invariants["start-capacity"],
+        warm_up=invariants["warm-up-ms"] / 1000,
+        caps=tuple(domain["caps"]),
+        spare_attempts=domain["spare-tries"],
+        exposure_window=domain["exposure-window-ms"] / 1000,
+        key_window={each["name"]: each["window-ms"] / 1000 for each in settings["classes"]},
+        unrejectable_classes=frozenset(
+            each["name"]
+            for each in settings["classes"]
+            if each["semantics"] == "single_shot"
+            or (each["semantics"] == "guarded" and each["group"] != "all")
+        ),
+        longest_deadline=min(3.0, max(deadlines)),
+        endpoint_capacity=ENDPOINT_CORES / site.reply_time,
+        memory_bytes=MEMORY_MB * 1024 * 1024,
+        descriptors=site.descriptors,
+    )
