--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -16,6 +16,14 @@
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
+def run_queue_wait(pid: int) -> float | None:
+    """Seconds that a process's main thread was ready to run and waited for a core; None if it has ended."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except OSError:
+        return None
+
+
 def blocks_hangup(pid: int) -> bool:
     """Whether a process has blocked SIGHUP."""
     try:
