--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -11,7 +11,7 @@
 
 from gatebank.fakes.wire import encode_command
 from tests.soak.client_connection import ClientConnection, Target
-from tests.soak.records import AnswerKind, ConnectionEnd, Crowd, Records, RequestRecord
+from tests.soak.records import AnswerKind, ConnectionEnd, Crowd, Records, RequestRecord, without_time
 from tests.soak.schedule import Clients
 
 GIVE_UP_S = 4.0  # beyond its deadline, after which a client waits no more for an answer that it is owed
@@ -216,6 +216,7 @@
             timeout_ms / 1000,
             effect,
             was_used=False,
+            command=without_time(words),
         )
         return record, self.cut(encode_command(*words))
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import re
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+TIMEOUT_FIELD = re.compile(rb"\bd=[0-9.]+")
 CROWD_S = 0.5  # for which an instance reads what a crowd sent, once its last request has come
 
 
@@ -44,6 +46,7 @@
         incarnation: Which process of it, from 0 on.
         timeout: Seconds that the client waits, as it says in ``d``.
         effect: What must not happen twice: the key or, where there is none, the body; empty if all may.
+        command: Its words as `without_time` has them.
         was_used: The connection had an answer before this request, or its connection served others.
         sent_at: When its last byte was taken by the system; None if that never happened.
         previous: The request before it on its connection, if that was unanswered when this one was sent.
@@ -60,6 +63,7 @@
     timeout: float
     effect: bytes
     was_used: bool
+    command: bytes = b""
     sent_at: float | None = None
     previous: RequestRecord | None = None
     answers: list[Answer] = field(default_factory=list)
@@ -74,6 +78,7 @@
 
     Attributes:
         remaining: Seconds that it says the instance will wait.
+        command: Its words as `without_time` has them.
         executed_at: When the endpoint executed it; None if it did not.
     """
 
@@ -82,6 +87,7 @@
     build: int
     at: float
     remaining: float
+    command: bytes = b""
     executed_at: float | None = None
 
 
@@ -197,6 +203,15 @@
     descriptors: int
 
 
+def without_time(words: Sequence[bytes]) -> bytes:
+    """A command's words in one, without the figure of ``d``, which alone changes on its way.
+
+    >>> without_time([b"Q.ASK", b"key", b"id", b"c=read,d=480,t=all"])
+    b'Q.ASK key id c=read,d=,t=all'
+    """
+    return b" ".join([*words[:3], TIMEOUT_FIELD.sub(b"d=", words[3]) if len(words) > 3 else b"", *words[4:]])
+
+
 @dataclass(slots=True)
 class Records:
     """All of one play."""
@@ -215,6 +230,7 @@
     crowds: list[Crowd] = field(default_factory=list)
     unasked_answers: list[tuple[float, int, bytes]] = field(default_factory=list)
     unanswered_partial: list[tuple[float, int]] = field(default_factory=list)
+    longest_datagram: int = 0
     connections_opened: int = 0
     connections_refused: int = 0
     faults_played: dict[str, int] = field(default_factory=dict)
--- a/tests/soak/rules/__init__.py
+++ b/tests/soak/rules/__init__.py
@@ -10,24 +10,31 @@
 from collections.abc import Callable, Iterator
 
 from tests.soak.records import Records
-from tests.soak.rules.answers import check_answers, check_attempts_after_end, check_remaining_time
+from tests.soak.rules.answers import (
+    check_answers,
+    check_attempts_after_end,
+    check_commands,
+    check_remaining_time,
+)
 from tests.soak.rules.base import Break
 from tests.soak.rules.effects import check_effects
 from tests.soak.rules.endpoints import check_cold_endpoints, check_drains
 from tests.soak.rules.exposure import check_exposure
-from tests.soak.rules.processes import check_processes, check_rest
+from tests.soak.rules.processes import check_datagrams, check_processes, check_rest
 
 __all__ = ["RULES", "Break", "find_breaks"]
 
 RULES: tuple[Callable[[Records], Iterator[Break]], ...] = (
     check_answers,
     check_attempts_after_end,
+    check_commands,
     check_remaining_time,
     check_effects,
     check_drains,
     check_cold_endpoints,
     check_exposure,
     check_processes,
+    check_datagrams,
     check_rest,
 )
 
--- a/tests/soak/rules/processes.py
+++ b/tests/soak/rules/processes.py
@@ -8,6 +8,7 @@
 from tests.soak.records import Records
 from tests.soak.rules.base import Break
 
+MAX_DATAGRAM_BYTES = 256  # between instances (PROTOCOL)
 READY_S = 10.0  # in which a started process answers
 REST_MEMORY_SHARE = 0.5  # of the limit: memory beyond it is priced (STANDING)
 SPARE_DESCRIPTORS = 2  # at rest beyond those before the load: a vote's connection and a watch begun anew
@@ -30,6 +31,12 @@
             yield Break("crash", each.ended_at, f"{name}: status {each.status}")
 
 
+def check_datagrams(records: Records) -> Iterator[Break]:
+    """No datagram between instances is longer than PROTOCOL allows."""
+    if records.longest_datagram > MAX_DATAGRAM_BYTES:
+        yield Break("datagram too long", math.inf, f"{records.longest_datagram} bytes")
+
+
 def check_rest(records: Records) -> Iterator[Break]:
     """After the load, descriptors and memory are back at rest."""
     before = {usage.instance: usage for usage in records.usage_before}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -81,6 +81,8 @@
         ("flood_cold_endpoints", "cold endpoint", with_fault(FaultKind.ENDPOINT_RESTART, schedule=SLOW)),
         ("exceed_cap", "exposure", with_fault(FaultKind.CANARY, detail="good")),
         ("tell_too_long_a_time", "too long a time told", QUIET),
+        ("change_bodies", "changed on its way", QUIET),
+        ("send_long_datagrams", "datagram too long", QUIET),
         ("crash", "crash", QUIET),
         ("start_slowly", "not ready", QUIET),
         ("leak_descriptors", "descriptors not given back", QUIET),
