--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -369,6 +369,7 @@
             if not is_first and estimate.samples >= evidence.RELIABLE_SAMPLES
         }
         latencies.load_before_canary = load_per_endpoint(state, outlier.UNRESPONSIVE_AT)
+        latencies.busy_until = state.now
         state.canary_seen = False
         for endpoint in state.endpoints.by_index.values():
             endpoint.latency_drift = NO_DRIFT
@@ -440,6 +441,8 @@
         state.traffic.update_rates(state.now - state.started_at, measurement.RATE_WINDOWS)
         if state.now >= state.fleet.received_at + rollout.FLEET_MEMORY_S:
             state.fleet.forget_report()
+        if state.test:
+            evidence.watch_load(state)
         self._ticks += 1
         if rollout.report_is_due(state, self._ticks):
             self._report()
--- a/gatebank/core/latency.py
+++ b/gatebank/core/latency.py
@@ -35,6 +35,7 @@
         baseline: of baseline builds, by class and machine kind.
         before_canary: the same as it was when the present canary came.
         load_before_canary: first tries a second for each endpoint that answered, then.
+        busy_until: until then late answers may come of more traffic, and not of a build.
     """
 
     def __init__(self, class_count: int) -> None:
@@ -43,3 +44,4 @@
         self.baseline: dict[tuple[int, int], LatencyEstimate] = {}
         self.before_canary = self.baseline  # until a first canary comes, the times of now are those before it
         self.load_before_canary = 0.0
+        self.busy_until = 0.0
--- a/gatebank/policy/admission.py
+++ b/gatebank/policy/admission.py
@@ -9,9 +9,7 @@
 WARM_UP_S = 2.0  # after the start nothing is shed: no rate is known
 QUIET_PER_ENDPOINT = 2  # so many outstanding attempts an endpoint are no queue: answers may come in bursts
 FLEET_WEIGHT = 5  # the fleet's figures weigh as so many of this instance's answers a second
-BOUND_SHARE = (
-    0.6  # of the latency objective for the requests that pay least for their work; twice for the best
-)
+BOUND_SHARE = 0.6  # of the latency objective, for what pays least for its work; twice for the best
 OVER_QUOTA_AT = 0.7  # of the bound, from where tenants are held to their quota
 QUOTA_SLACK = 1.2
 HELD_UP_PROBE_SHARE = 0.1  # of a held-up class goes on, to see when it ends
--- a/gatebank/policy/evidence.py
+++ b/gatebank/policy/evidence.py
@@ -26,6 +26,7 @@
 QUICKER_CANARY = 0.7  # beyond chance: what slows the baseline alone is no fault of the canary
 DRIFT = 1.3  # of the middle endpoint of all: no neighbour, pause or queue
 BUSIER = 1.35  # load over that before the canary came, from where lateness is no sign
+BACKLOG_S = 4.0  # after a burst, in which what still waits makes answers late
 DRIFT_WEIGHT = 0.15
 BASELINE_LATENCY_WEIGHT = 0.02
 FADE = 0.99  # of the baseline's counts, with each outcome
@@ -35,10 +36,8 @@
 MIN_P0 = 0.01
 MAX_P0 = 0.2
 MAX_RECENT_P0 = 0.6
-# Answers of a fleet are late together, and so are those behind one pause of a busy endpoint: they are no more
-# evidence than those of a fleet with so many requests a second, or of an endpoint with so many.
-INDEPENDENT_FLEET_RATE = 80
-INDEPENDENT_ENDPOINT_RATE = 8
+INDEPENDENT_FLEET_RATE = 80  # answers a second that count as evidence: those of a moment are late together
+INDEPENDENT_ENDPOINT_RATE = 8  # the same of one endpoint: what waits behind one pause is late together
 
 
 def judge(state: BalancerState, attempt: AttemptRecord, result: AttemptResult) -> list[LlrDelta] | None:
@@ -113,8 +112,13 @@
     drift = learn_drift(state, attempt.endpoint, result.duration / before, DRIFT_WEIGHT)
     if drift <= DRIFT or not no_quicker:
         return False
-    calm = load_per_endpoint(state, UNRESPONSIVE_AT) < BUSIER * state.latencies.load_before_canary
-    return calm and result.duration > LATE_EVERYWHERE_FACTOR * before
+    return state.now >= state.latencies.busy_until and result.duration > LATE_EVERYWHERE_FACTOR * before
+
+
+def watch_load(state: BalancerState) -> None:
+    """See whether there is more traffic than before the canary came; what waits outlasts a burst."""
+    if load_per_endpoint(state, UNRESPONSIVE_AT) >= BUSIER * state.latencies.load_before_canary:
+        state.latencies.busy_until = state.now + BACKLOG_S
 
 
 def _error_statistics(attempt: AttemptRecord, result: AttemptResult) -> tuple[tuple[int, bool], ...]:
--- a/gatebank/policy/outlier.py
+++ b/gatebank/policy/outlier.py
@@ -8,10 +8,7 @@
 from gatebank.events import Outcome
 
 FAILURE_WEIGHT = 0.25  # of each new result in an endpoint's failure rate
-FAILURE_SIZES = {
-    Outcome.SUCCESS: 0.0,
-    Outcome.CONNECTION_LOST: 0.5,
-}  # others: 1; what is lost may be its link's
+FAILURE_SIZES = {Outcome.SUCCESS: 0.0, Outcome.CONNECTION_LOST: 0.5}  # others: 1; a link may lose answers
 NO_FAILURE_SIGN = (Outcome.CANCELLED, Outcome.REJECTED, Outcome.NOT_SENT)
 EJECT_AT = 0.4
 RETURN_RATE = 0.3  # of an endpoint that is taken back: ejected again soon, for twice as long
--- a/gatebank/policy/sequential_test.py
+++ b/gatebank/policy/sequential_test.py
@@ -10,8 +10,6 @@
 QUANTIZATION = Quantization(1.0, 0.25, 16)  # Δ is the design's; 16 levels span one outcome's largest jump
 MINIMUM_OUTCOMES = 10  # the design's
 FALLBACK_S = 5.0  # the design's: promoted after that, if nothing speaks against it
-# Failing 4% is just over the line; late twice as often as the 5% of exponential times over three usual ones
-# too. One class's errors are many or none.
 ODDS = (Odds(3, 0.06, 0.01), Odds(5, 0.03, 0.05), Odds(3, 0.03, 0.05), Odds(3, 0.2, 0.01), Odds(3, 0.2, 0.01))
 CLUMPED = (Statistic.LATE, Statistic.CONNECTIONS_LOST)  # come in clumps, so that their floor is lower
 
