--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -363,11 +363,7 @@
         """Another build is the newest: what was usual before it came is kept to compare with."""
         state = self.state
         latencies = state.latencies
-        latencies.before_canary = {
-            key: estimate
-            for key, estimate in latencies.baseline.items()
-            if not is_first and estimate.samples >= evidence.RELIABLE_SAMPLES
-        }
+        latencies.before_canary = {} if is_first else evidence.known_latencies(state)
         latencies.load_before_canary = load_per_endpoint(state, outlier.UNRESPONSIVE_AT)
         latencies.busy_until = state.now
         state.canary_seen = False
--- a/gatebank/core/endpoint_table.py
+++ b/gatebank/core/endpoint_table.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from gatebank.core.endpoint_state import EndpointState
 from gatebank.events import Condition, Endpoint
 from gatebank.statistics.endpoint_groups import EndpointGroups
 
 
+class EndpointCounts(NamedTuple):
+    """How many endpoints there are: of one build, of these warmed up, and of all builds."""
+
+    of_build: int
+    warm: int
+    listed: int
+
+
 class EndpointTable:
     """Endpoints by index.
 
@@ -42,6 +51,12 @@
         self.groups = EndpointGroups(self.ready)
         self.lowest_build = min((state.listed.build for state in self.by_index.values()), default=0)
 
+    def counts(self, build: int, now: float, warm_up: float) -> EndpointCounts:
+        """The counts that evidence on a build is weighed by; ``warm_up`` in seconds."""
+        endpoints = self.groups.by_build.get(build, ())
+        warm = self.groups.warm_count(endpoints, now, warm_up)
+        return EndpointCounts(len(endpoints), warm, len(self.by_index))
+
     @staticmethod
     def _same_process(old: Endpoint, new: Endpoint) -> bool:
         return old.started == new.started and old.build == new.build
--- a/gatebank/core/measurement.py
+++ b/gatebank/core/measurement.py
@@ -84,8 +84,8 @@
     )
 
 
-def median_ratios(state: BalancerState, build: int) -> tuple[float, float]:
-    """The median latency ratios of a build's endpoints and of those of lower builds."""
+def median_slowness(state: BalancerState, build: int) -> float:
+    """The median latency ratio of a build's endpoints over that of lower builds'."""
     groups = state.endpoints.groups
     own = groups.median(
         MedianKey(LATENCY_RATIO, ("at", build)),
@@ -99,7 +99,7 @@
         lambda each: each.latency_ratio,
         own,
     )
-    return own, lower
+    return own / lower if lower else NEUTRAL_RATIO
 
 
 def count_baseline(
--- a/gatebank/policy/evidence.py
+++ b/gatebank/policy/evidence.py
@@ -1,6 +1,6 @@
 """What an attempt's result says of builds: which LLRs it moves, and by how much."""
 
-from gatebank.core.latency import UNKNOWN, LatencyKey
+from gatebank.core.latency import UNKNOWN
 from gatebank.core.llr_sums import Statistic
 from gatebank.core.load import load_per_endpoint
 from gatebank.core.measurement import (
@@ -8,7 +8,7 @@
     count_baseline,
     learn_baseline_latency,
     learn_drift,
-    median_ratios,
+    median_slowness,
 )
 from gatebank.core.request_state import AttemptRecord
 from gatebank.core.state import BalancerState
@@ -59,10 +59,11 @@
     deltas: list[LlrDelta | None] = []
     slower = False
     if state.test and compared:
-        canary, baseline = _median_ratios(state, state.test)
-        slower = usual.samples >= RELIABLE_SAMPLES and canary > SLOWER_CANARY * baseline
+        # Of the middle endpoints of canary and baseline; where traffic is thin, the fleet's.
+        slowness = state.fleet.canary_slowness or median_slowness(state, state.test.build)
+        slower = usual.samples >= RELIABLE_SAMPLES and slowness > SLOWER_CANARY
         if _has_drift(state, state.test, attempt, result):
-            late_drift = _late_by_drift(state, attempt, result, canary > QUICKER_CANARY * baseline)
+            late_drift = _late_by_drift(state, attempt, result) and slowness > QUICKER_CANARY
             deltas.append(_move(state, state.test, Statistic.LATE_EVERYWHERE, attempt, late_drift))
     if result.outcome is Outcome.SUCCESS and timed and (of_baseline or not in_trial):
         learn_baseline_latency(state, attempt.latency_key, result.duration, BASELINE_LATENCY_WEIGHT)
@@ -76,24 +77,25 @@
     return [delta for delta in deltas if delta]
 
 
-def _usual_latency(state: BalancerState, key: LatencyKey) -> LatencyEstimate:
+def _usual_latency(state: BalancerState, key: tuple[int, int]) -> LatencyEstimate:
     own = state.latencies.baseline.get(key, UNKNOWN)
     if own.samples < RELIABLE_SAMPLES and key in state.fleet.baseline_latency:
         return LatencyEstimate(state.fleet.baseline_latency[key].per_answer, RELIABLE_SAMPLES)
     return own
 
 
+def known_latencies(state: BalancerState) -> dict[tuple[int, int], LatencyEstimate]:
+    """The baseline's usual times; the fleet's, where this instance has met too few answers itself."""
+    keys = {*state.latencies.baseline, *state.fleet.baseline_latency}
+    usual = {key: _usual_latency(state, key) for key in keys}
+    return {key: estimate for key, estimate in usual.items() if estimate.samples >= RELIABLE_SAMPLES}
+
+
 def _shows_time(state: BalancerState, attempt: AttemptRecord, result: AttemptResult) -> bool:
     broken = result.outcome in (Outcome.ERROR, Outcome.CONNECTION_LOST)
     return not broken and attempt.request_class not in state.fleet.held_up_classes
 
 
-def _median_ratios(state: BalancerState, test: SequentialTest) -> tuple[float, float]:
-    """How slow the middle endpoints of canary and baseline are; where traffic is thin, the fleet's."""
-    slowness = state.fleet.canary_slowness
-    return (slowness, 1.0) if slowness else median_ratios(state, test.build)
-
-
 def _has_drift(
     state: BalancerState, test: SequentialTest, attempt: AttemptRecord, result: AttemptResult
 ) -> bool:
@@ -104,15 +106,12 @@
     return met and result.outcome is Outcome.SUCCESS and before > 0
 
 
-def _late_by_drift(
-    state: BalancerState, attempt: AttemptRecord, result: AttemptResult, no_quicker: bool
-) -> bool:
+def _late_by_drift(state: BalancerState, attempt: AttemptRecord, result: AttemptResult) -> bool:
     """Late, with no more traffic than before: a build may slow all, and has no contrast beside it then."""
     before = state.latencies.before_canary[attempt.latency_key].mean
     drift = learn_drift(state, attempt.endpoint, result.duration / before, DRIFT_WEIGHT)
-    if drift <= DRIFT or not no_quicker:
-        return False
-    return state.now >= state.latencies.busy_until and result.duration > LATE_EVERYWHERE_FACTOR * before
+    calm = state.now >= state.latencies.busy_until
+    return calm and drift > DRIFT and result.duration > LATE_EVERYWHERE_FACTOR * before
 
 
 def watch_load(state: BalancerState) -> None:
--- a/gatebank/policy/rollout.py
+++ b/gatebank/policy/rollout.py
@@ -63,9 +63,8 @@
         return None
     is_fuser = state.settings.instance in fusers(state.settings.instance_count)
     if is_fuser or state.now - state.fleet.last_fuser_message_at >= FUSER_SILENCE_S:
-        endpoints = state.endpoints.groups.by_build.get(test.build, ())
-        warm = state.endpoints.groups.warm_count(endpoints, state.now, state.settings.slow_start.warm_up)
-        own = test.verdict(state.now, len(endpoints), warm)
+        counts = state.endpoints.counts(test.build, state.now, state.settings.slow_start.warm_up)
+        own = test.verdict(state.now, counts)
         return None if many and not is_fuser and own is Verdict.NONE else own  # what they found stands
     report = state.fleet.report
     same = report and (report.build, report.stage) == (short_build(test.build), test.sums.stage)
