--- a/gatebank/peer_messages.py
+++ b/gatebank/peer_messages.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import math
 import struct
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -163,8 +162,6 @@
     ) -> float:
         """The time an answer takes the canary over the baseline's; 0 where too little is known of either.
 
-        The time of attempts that were given up counts as the usual answers that would have taken it.
-
         >>> rows = {
         ...     LoadKey(0, 0, BASELINE): LoadSample(9.0, 1.8, 0.0),
         ...     LoadKey(0, 0, CANARY): LoadSample(4.0, 0.8, 0.8),
@@ -173,23 +170,16 @@
         >>> fleet = FleetReport(9.0, 1.0, rows)
         >>> fleet.canary_slowness(fleet.baseline_latency(1.0), 1.0), fleet.canary_slowness({}, 1.0)
         (2.0, 0.0)
-        >>> rows[LoadKey(0, 0, CANARY)] = LoadSample(1.0, 0.8, 3.2)
-        >>> FleetReport(9.0, 1.0, rows).canary_slowness(fleet.baseline_latency(1.0), 9.0)
-        20.0
         """
         answers = 0.0
         taken = 0.0
         expected = 0.0
         for key, row in self.loads.items():
             if key.side == CANARY and key[:2] in baseline:
-                usual = baseline[key[:2]].with_lost
-                time = row.answer_time + row.lost_time
-                answers += max(row.answers, time / usual if usual else 0.0)
-                taken += time
-                expected += row.answers * usual
-        if answers < minimum_answers or not taken:
-            return 0.0
-        return taken / expected if expected else math.inf
+                answers += row.answers
+                taken = taken + row.answer_time + row.lost_time
+                expected += row.answers * baseline[key[:2]].with_lost
+        return taken / expected if answers >= minimum_answers and expected > 0 else 0.0
 
 
 PeerMessage = LlrDelta | InstanceReport | FleetReport
--- a/gatebank/policy/evidence.py
+++ b/gatebank/policy/evidence.py
@@ -41,15 +41,18 @@
 
 
 def judge(state: BalancerState, attempt: AttemptRecord, result: AttemptResult) -> list[LlrDelta] | None:
-    """Take a result into baseline or LLRs; what to tell the fusers, None if it says nothing of builds."""
+    """Take a result into the baseline's figures or the canary's LLRs.
+
+    Returns:
+        What is to be told to the fusers; None where the result says nothing of builds.
+    """
     usual = _usual_latency(state, attempt.latency_key)
     late = result.duration > LATE_FACTOR * usual.mean
-    given_up_too_soon = result.outcome in GIVEN_UP and not late
-    if state.age(attempt.endpoint) < SETTLING_S:
+    given_up_too_soon = result.outcome in GIVEN_UP and result.duration < LATE_FACTOR * usual.mean
+    if state.age(attempt.endpoint) < SETTLING_S or given_up_too_soon:
         return None
     in_trial = state.release is not None and state.release.phase is Phase.CANARY
     of_baseline = state.test is None or attempt.build < state.test.build
-    of_canary = state.test is not None and attempt.build == state.test.build
     # An endpoint that warms up is late whatever it runs, and an instance that stood still knows no times.
     timed = is_warm(state, attempt.endpoint) and state.now - result.duration >= state.resumed_at
     compared = in_trial and timed and _shows_time(state, attempt, result)
@@ -61,20 +64,16 @@
         slower = usual.samples >= RELIABLE_SAMPLES and slowness > SLOWER_CANARY
         if _has_drift(state, state.test, attempt, result):
             late_drift = _late_by_drift(state, attempt, result) and slowness > QUICKER_CANARY
-            deltas.append(_move(state, attempt, Statistic.LATE_EVERYWHERE, late_drift))
-    if given_up_too_soon:  # left out, it would leave the quick answers of a slow canary to speak alone
-        waited = result.duration / (LATE_FACTOR * usual.mean) if of_canary and slower else 0.0
-        deltas.append(_move(state, attempt, Statistic.LATE, True, waited))
-        return [delta for delta in deltas if delta]
+            deltas.append(_move(state, state.test, Statistic.LATE_EVERYWHERE, attempt, late_drift))
     if result.outcome is Outcome.SUCCESS and timed and (of_baseline or not in_trial):
         learn_baseline_latency(state, attempt.latency_key, result.duration, BASELINE_LATENCY_WEIGHT)
     if of_baseline or not (in_trial or state.canary_seen):
         _count_baseline(state, attempt, result, late and usual.mean > 0)
-    elif of_canary:
+    elif state.test and attempt.build == state.test.build:
         outcomes = _error_statistics(attempt, result)
-        deltas += [_move(state, attempt, statistic, bad) for statistic, bad in outcomes]
+        deltas += [_move(state, state.test, statistic, attempt, bad) for statistic, bad in outcomes]
         if compared and usual.samples >= RELIABLE_SAMPLES:
-            deltas.append(_move(state, attempt, Statistic.LATE, late and slower))
+            deltas.append(_move(state, state.test, Statistic.LATE, attempt, late and slower))
     return [delta for delta in deltas if delta]
 
 
@@ -136,17 +135,15 @@
 
 
 def _move(
-    state: BalancerState, attempt: AttemptRecord, statistic: int, bad: bool, weight: float = 1.0
+    state: BalancerState, test: SequentialTest, statistic: int, attempt: AttemptRecord, bad: bool
 ) -> LlrDelta | None:
-    """Count one outcome, or a part of it, in one LLR; past Δ, what to tell the fusers."""
-    if state.test is None or not weight:
-        return None
-    step = weight * llr_step(statistic, bad, _p0(state, statistic))
+    """Count one outcome in one LLR; past Δ, what to tell the fusers."""
+    step = llr_step(statistic, bad, _p0(state, statistic))
     if statistic == Statistic.LATE_EVERYWHERE and state.fleet.report:
         step *= min(1.0, INDEPENDENT_FLEET_RATE / max(1.0, state.fleet.report.request_rate))
     elif statistic == Statistic.LATE:
         step *= min(1.0, INDEPENDENT_ENDPOINT_RATE / max(1.0, load_per_endpoint(state, UNRESPONSIVE_AT)))
-    return state.test.sums.count_outcome(statistic, step, attempt.endpoint.listed.name_hash, state.random)
+    return test.sums.count_outcome(statistic, step, attempt.endpoint.listed.name_hash, state.random)
 
 
 def _p0(state: BalancerState, statistic: int) -> float:
