--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,7 @@
 from tests.soak.records import AnswerKind, InstanceStall, Records, Stall
 from tests.soak.report import Result
 from tests.soak.rules import find_breaks
+from tests.soak.rules.moments import count_moments
 from tests.soak.schedule import Schedule
 
 TICK_S = 0.005
@@ -128,6 +129,7 @@
         processes=len(records.incarnations),
         longest_stall=round(max((stall.seconds for stall in records.stalls), default=0.0), 3),
         faults=dict(records.faults_played),
+        moments=count_moments(records),
         breaks=[f"{each.at - began:8.3f} s  {each.rule}: {each.text}" for each in find_breaks(records)],
         rules_broken=[each.rule for each in find_breaks(records)],
         problem=problem,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -80,6 +80,7 @@
         remaining: Seconds that it says the instance will wait.
         command: Its words as `without_time` has them.
         executed_at: When the endpoint executed it; None if it did not.
+        failed_at: When the endpoint failed it, at the earliest; None if it did not.
     """
 
     request_id: bytes
@@ -89,6 +90,7 @@
     remaining: float
     command: bytes = b""
     executed_at: float | None = None
+    failed_at: float | None = None
 
 
 @dataclass(slots=True)
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, fields
 
+MINIMUM_MOMENTS = 20  # of a rule in a long run; with fewer it was not tested
 COUNTED = ("requests", "served", "rejected", "failed", "unanswered", "attempts", "executions", "processes")
 
 
@@ -20,6 +21,7 @@
         longest_stall: Of the stand-ins' own process, in seconds.
         breaks: A line each.
         rules_broken: The rules of these, in the same order.
+        moments: How often the moment of a rule came (`rules.moments`).
         problem: Why it could not be played to its end; empty if it could.
     """
 
@@ -35,6 +37,7 @@
     processes: int
     longest_stall: float
     faults: dict[str, int]
+    moments: dict[str, int]
     breaks: list[str]
     rules_broken: list[str]
     problem: str
@@ -74,6 +77,12 @@
     lines.append(
         "rules broken: " + (", ".join(f"{rule} {count}" for rule, count in breaks.items()) or "none")
     )
+    moments = sum((Counter(result.moments) for result in results), Counter[str]())
+    counted = {name: moments[name] for result in results for name in result.moments}
+    lines += [
+        f"{name}: {number}" + (", NOT TESTED" if number < MINIMUM_MOMENTS else "")
+        for name, number in counted.items()
+    ]
     unfinished = [result.seed for result in results if result.problem]
     if unfinished:
         lines.append(f"not played to their end: seeds {unfinished}")
