--- a/gatebank/core/measurement.py
+++ b/gatebank/core/measurement.py
@@ -10,11 +10,10 @@
 from gatebank.core.request_state import AttemptRecord
 from gatebank.core.state import BalancerState
 from gatebank.core.traffic import FinishedAttempt
-from gatebank.events import AttemptResult, BaselineErrors, Outcome
+from gatebank.events import GIVEN_UP, AttemptResult, BaselineErrors, Outcome
 from gatebank.peer_messages import LoadKey
 from gatebank.statistics.endpoint_groups import MedianKey
 
-GIVEN_UP = (Outcome.TIMED_OUT, Outcome.CANCELLED)
 LATENCY_RATIO = "latency_ratio"
 LATENCY_DRIFT = "latency_drift"
 NEUTRAL_RATIO = 1.0  # where no endpoint tells
--- a/gatebank/events.py
+++ b/gatebank/events.py
@@ -36,6 +36,7 @@
     NOT_SENT = "not sent"
 
 
+GIVEN_UP = (Outcome.TIMED_OUT, Outcome.CANCELLED)
 NEVER_RAN = (Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.NOT_SENT)  # such an attempt had no effect
 
 
--- a/gatebank/policy/evidence.py
+++ b/gatebank/policy/evidence.py
@@ -3,16 +3,10 @@
 from gatebank.core.latency import UNKNOWN
 from gatebank.core.llr_sums import Statistic
 from gatebank.core.load import load_per_endpoint
-from gatebank.core.measurement import (
-    GIVEN_UP,
-    count_baseline,
-    learn_baseline_latency,
-    learn_drift,
-    median_slowness,
-)
+from gatebank.core.measurement import count_baseline, learn_baseline_latency, learn_drift, median_slowness
 from gatebank.core.request_state import AttemptRecord
 from gatebank.core.state import BalancerState
-from gatebank.events import AttemptResult, LatencyEstimate, Outcome, Phase
+from gatebank.events import GIVEN_UP, AttemptResult, LatencyEstimate, Outcome, Phase
 from gatebank.peer_messages import LlrDelta
 from gatebank.policy.outlier import EJECT_AT, UNRESPONSIVE_AT
 from gatebank.policy.sequential_test import SequentialTest, llr_step, odds_of
--- a/gatebank/policy/retry.py
+++ b/gatebank/policy/retry.py
@@ -1,7 +1,4 @@
-"""What to do next with a request: at its arrival, after each result, and when it has waited.
-
-Rule 1: one final answer, in time. Rule 2: no effect twice.
-"""
+"""What to do next with a request. Rule 1: one final answer, in time. Rule 2: no effect twice."""
 
 from collections.abc import Sequence
 
