--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -217,8 +217,7 @@
         if not same_build:
             self._begin_build(is_first=last is None)
         state.canary_seen = state.canary_seen or status.phase is Phase.CANARY
-        statistic_count = len(state.baseline_errors)
-        state.test = SequentialTest(status, statistic_count, state.incarnation) if judged else None
+        state.test = self._new_test(status, state.test if same_build else None) if judged else None
         inheritance.merge_inherited_reports(state)
 
     def apply_inherited_state(self, inherited: InheritedState) -> None:
@@ -371,6 +370,14 @@
             endpoint.latency_drift = NO_DRIFT
         state.endpoints.groups.ejection_changed()
 
+    def _new_test(self, status: ReleaseStatus, former: SequentialTest | None) -> SequentialTest:
+        """Sums begin anew with each stage, but for that of the oldest endpoints, which stay the same."""
+        state = self.state
+        test = SequentialTest(status, len(state.settings.request_classes), state.incarnation)
+        if former is not None:
+            test.sums.continue_from(former.sums)
+        return test
+
     def _vote(self) -> None:
         state = self.state
         verdict = rollout.vote_to_cast(state)
--- a/gatebank/core/endpoint_table.py
+++ b/gatebank/core/endpoint_table.py
@@ -11,10 +11,11 @@
 
 
 class EndpointCounts(NamedTuple):
-    """How many endpoints there are: of one build, of these warmed up, and of all builds."""
+    """How many endpoints there are: of one build, of these warmed up and the oldest, and of all builds."""
 
     of_build: int
     warm: int
+    oldest: int
     listed: int
 
 
@@ -51,11 +52,11 @@
         self.groups = EndpointGroups(self.ready)
         self.lowest_build = min((state.listed.build for state in self.by_index.values()), default=0)
 
-    def counts(self, build: int, now: float, warm_up: float) -> EndpointCounts:
+    def counts(self, build: int, oldest: int, now: float, warm_up: float) -> EndpointCounts:
         """The counts that evidence on a build is weighed by; ``warm_up`` in seconds."""
         endpoints = self.groups.by_build.get(build, ())
         warm = self.groups.warm_count(endpoints, now, warm_up)
-        return EndpointCounts(len(endpoints), warm, len(self.by_index))
+        return EndpointCounts(len(endpoints), warm, oldest, len(self.by_index))
 
     @staticmethod
     def _same_process(old: Endpoint, new: Endpoint) -> bool:
--- a/gatebank/core/llr_sums.py
+++ b/gatebank/core/llr_sums.py
@@ -27,6 +27,11 @@
     CONNECTIONS_LOST = 3  # on links to any build: a few by chance must not add up to errors
     FIRST_CLASS = 4  # and one for the errors of each request class
 
+    @staticmethod
+    def oldest_errors(class_count: int) -> int:
+        """Of errors at the endpoints of the build that started first: behind those of the classes."""
+        return Statistic.FIRST_CLASS + class_count
+
 
 class Odds(NamedTuple):
     """A bad build's share of bad outcomes, p1 = factor x p0 + extra, and p0 while it is unknown."""
@@ -52,7 +57,7 @@
 
 
 class LlrSums:
-    """Sums by statistic (0 is the design's own); dropped with the stage.
+    """Sums by statistic (0 is the design's own); dropped with the stage, but for the lasting one.
 
     Attributes:
         build, stage, incarnation: what the sums are of, and this instance's start.
@@ -61,7 +66,9 @@
         fused: of all instances heard, held at ``floors``.
         outcomes: of all, in statistic 0.
         by_peer: sums that others told.
-        evidence: for each statistic, what raised the fused sum, by endpoint hash.
+        evidence: for each statistic, what raised the fused sum, by endpoint hash; of the lasting one since it
+            stood at its floor.
+        lasting: the last statistic, that of the oldest endpoints: it goes on over the build's stages.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         self.incarnation = incarnation
         self.floors = floors
         self.quantization = quantization
+        self.lasting = len(floors) - 1
         self.own = [NO_SUM] * len(floors)
         self.unsent = [NO_SUM] * len(floors)
         self.fused = [0.0] * len(floors)
@@ -81,11 +89,14 @@
 
     def add_evidence(self, statistic: int, step: float, outcomes: int, endpoint_hash: int | None) -> None:
         """Into the fused sum, held at its floor: what turns bad is not covered by its past."""
-        self.fused[statistic] = max(self.floors[statistic], self.fused[statistic] + step)
+        floor = self.floors[statistic]
+        self.fused[statistic] = max(floor, self.fused[statistic] + step)
         if statistic == 0:
             self.outcomes += outcomes
-        if endpoint_hash is not None and step > 0:
-            by_endpoint = self.evidence[statistic]
+        by_endpoint = self.evidence[statistic]
+        if statistic == self.lasting and self.fused[statistic] <= floor:
+            by_endpoint.clear()
+        elif endpoint_hash is not None and step > 0:
             by_endpoint[endpoint_hash] = by_endpoint.get(endpoint_hash, 0.0) + step
 
     def count_outcome(
@@ -109,6 +120,14 @@
             self.incarnation, self.build, self.stage, statistic, signed, unsent.outcomes, endpoint_hash
         )
 
+    def continue_from(self, former: LlrSums) -> None:
+        """Go on with the lasting fused sum of the build's former stage, and with what raised it.
+
+        What instances tell begins anew: a fuser that restarts knows what its stage shows.
+        """
+        self.fused[self.lasting] = former.fused[self.lasting]
+        self.evidence[self.lasting] = former.evidence[self.lasting]
+
     def reset_unsent(self) -> None:
         """A report told the whole sums: nothing is left to tell."""
         self.unsent = [NO_SUM] * len(self.unsent)
--- a/gatebank/policy/evidence.py
+++ b/gatebank/policy/evidence.py
@@ -65,6 +65,8 @@
         _count_baseline(state, attempt, result, late and usual.mean > 0)
     elif state.test and attempt.build == state.test.build:
         outcomes = _error_statistics(attempt, result)
+        if state.test.oldest_endpoints(state.endpoints.groups).contain(attempt.endpoint):
+            outcomes += ((state.test.oldest, result.outcome is Outcome.ERROR),)
         deltas += [_move(state, state.test, statistic, attempt, bad) for statistic, bad in outcomes]
         if compared and usual.samples >= RELIABLE_SAMPLES:
             deltas.append(_move(state, state.test, Statistic.LATE, attempt, late and slower))
@@ -132,7 +134,8 @@
     state: BalancerState, test: SequentialTest, statistic: int, attempt: AttemptRecord, bad: bool
 ) -> LlrDelta | None:
     """Count one outcome in one LLR; past Δ, what to tell the fusers."""
-    step = llr_step(statistic, bad, _p0(state, statistic))
+    odds_of_statistic = test.same_odds_as.get(statistic, statistic)
+    step = llr_step(odds_of_statistic, bad, _p0(state, odds_of_statistic))
     if statistic == Statistic.LATE_EVERYWHERE and state.fleet.report:
         step *= min(1.0, INDEPENDENT_FLEET_RATE / max(1.0, state.fleet.report.request_rate))
     elif statistic == Statistic.LATE:
@@ -142,8 +145,7 @@
 
 def _p0(state: BalancerState, statistic: int) -> float:
     """The baseline's share of bad outcomes; of errors at least its recent one."""
-    late = statistic in (Statistic.LATE, Statistic.LATE_EVERYWHERE)
-    row = state.baseline_errors[Statistic.LATE if late else statistic]
+    row = state.baseline_errors[statistic]
     share = row.bad / row.total if row.total >= RELIABLE_SAMPLES else odds_of(statistic).unknown_p0
     p0 = min(MAX_P0, max(MIN_P0, share))
-    return p0 if late else max(p0, min(MAX_RECENT_P0, row.recent_rate))
+    return p0 if statistic == Statistic.LATE else max(p0, min(MAX_RECENT_P0, row.recent_rate))
--- a/gatebank/policy/rollout.py
+++ b/gatebank/policy/rollout.py
@@ -63,7 +63,8 @@
         return None
     is_fuser = state.settings.instance in fusers(state.settings.instance_count)
     if is_fuser or state.now - state.fleet.last_fuser_message_at >= FUSER_SILENCE_S:
-        counts = state.endpoints.counts(test.build, state.now, state.settings.slow_start.warm_up)
+        oldest = test.oldest_endpoints(state.endpoints.groups).size
+        counts = state.endpoints.counts(test.build, oldest, state.now, state.settings.slow_start.warm_up)
         own = test.verdict(state.now, counts)
         return None if many and not is_fuser and own is Verdict.NONE else own  # what they found stands
     report = state.fleet.report
--- a/gatebank/state_transfer/inherited_knowledge.py
+++ b/gatebank/state_transfer/inherited_knowledge.py
@@ -5,6 +5,7 @@
 from collections.abc import Hashable, Iterable
 from typing import NamedTuple
 
+from gatebank.core.llr_sums import Statistic
 from gatebank.core.state import BalancerState
 from gatebank.events import (
     AcceptedRow,
@@ -168,14 +169,14 @@
 
     def reports(self, merged: MergedState) -> list[tuple[int, InstanceReport]]:
         """Whole sums of other incarnations, with the instance that made them."""
-        statistic_count = len(self.state.baseline_errors)
+        last = Statistic.oldest_errors(len(self.names.request_classes))
         found = []
         for item in merged.sums:
             if item.instance < self.state.settings.instance_count:
                 sums = {
                     statistic: LlrSum(each.value, each.outcomes)
                     for statistic, each in item.ratios.items()
-                    if 0 <= statistic < statistic_count
+                    if 0 <= statistic <= last
                 }
                 report = InstanceReport(item.incarnation, item.build, item.stage, 0.0, 0.0, {}, sums)
                 found.append((item.instance, report))
--- a/gatebank/statistics/endpoint_groups.py
+++ b/gatebank/statistics/endpoint_groups.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Callable, Collection, Hashable, Sequence
 from typing import NamedTuple
 
@@ -24,6 +25,17 @@
     healthy: list[EndpointState]
 
 
+class OldestEndpoints(NamedTuple):
+    """The endpoints of a build that started up to a time, in seconds, and how many they are."""
+
+    started_until: float
+    size: int
+
+    def contain(self, endpoint: EndpointState) -> bool:
+        """Whether an endpoint of that build is one of them; if no start is told, it is."""
+        return (endpoint.listed.started or 0.0) <= self.started_until
+
+
 class MedianKey(NamedTuple):
     """Which value of endpoints a median is of, and over which of them."""
 
@@ -40,6 +52,7 @@
         for endpoint in endpoints:
             self.by_build.setdefault(endpoint.listed.build, []).append(endpoint)
         self._members: set[int] | None = None
+        self._oldest: dict[tuple[int, int, float], OldestEndpoints] = {}
         # All of these are emptied by `ejection_changed`.
         self._selections: dict[tuple[bool, frozenset[int]], Selection] = {}
         self._warm_ups: dict[int, WarmUpOrder] = {}  # by the identity of a list
@@ -74,6 +87,22 @@
             endpoints = [each for each in self.endpoints if (each.listed.build in builds) is not excluded]
         return Selection(endpoints, [each for each in endpoints if not each.ejected])
 
+    def oldest(self, build: int, minimum: int, together_s: float) -> OldestEndpoints:
+        """The endpoints of a build that started first.
+
+        Args:
+            build: which build.
+            minimum: how many at least, if the build has as many.
+            together_s: they include what started within so many seconds of these.
+        """
+        key = build, minimum, together_s
+        found = self._oldest.get(key)
+        if found is None:
+            starts = sorted(each.listed.started or 0.0 for each in self.by_build.get(build, ()))
+            until = starts[min(minimum, len(starts)) - 1] + together_s if starts else 0.0
+            found = self._oldest[key] = OldestEndpoints(until, bisect_right(starts, until))
+        return found
+
     def contains(self, endpoint: EndpointState) -> bool:
         """Whether it is one of these endpoints."""
         if self._members is None:
--- /dev/null
+++ b/tests/test_oldest_endpoints.py
@@ -0,0 +1,57 @@
+"""Errors at a build's oldest endpoints: which these are, and how their sum reaches other instances."""
+
+from __future__ import annotations
+
+import pytest
+
+from gatebank import events
+from gatebank.core.endpoint_state import EndpointState
+from gatebank.core.llr_sums import Statistic
+from gatebank.policy.sequential_test import OLDEST_COUNT, TOGETHER_S
+from gatebank.state_transfer.items import RatioSum, SequentialTestSums
+from gatebank.statistics.endpoint_groups import EndpointGroups
+from tests.support.learners import START, brain, entry, knowledge
+
+
+@pytest.mark.parametrize(
+    ("starts", "size"),
+    [
+        ((10.0, 10.2, 11.9, 12.1, 16.0), 4),
+        ((10.0, 10.2, 10.1, 10.4, 16.0, 16.3, 16.1), 4),  # two stages
+        ((10.0, 16.0, 16.3, 16.1, 22.0), 4),  # a first stage of one endpoint: with the second stage's
+        ((10.0,), 1),
+        ((None, None, None, None, 16.0), 4),  # no start told: as old as any
+        ((), 0),
+    ],
+)
+def test_oldest_are_those_that_started_with_the_first(starts: tuple[float | None, ...], size: int) -> None:
+    """The first three, and what started within two seconds of the third."""
+    endpoints = [EndpointState(entry(number, 42, started)) for number, started in enumerate(starts)]
+    other = EndpointState(entry(99, 41, 1.0))
+    groups = EndpointGroups([*endpoints, other])
+    oldest = groups.oldest(42, OLDEST_COUNT, TOGETHER_S)
+    assert oldest.size == size
+    assert sum(oldest.contain(each) for each in endpoints) == size
+
+
+def test_inherited_sums_hold_that_of_the_oldest() -> None:
+    """What a former incarnation told of the oldest endpoints is taken over, and no number beyond it."""
+    balancer, names = brain()
+    status = events.ReleaseStatus(events.ReplyStatus.ACCEPTED, False, 42, 1, events.Phase.CANARY, 0.2)
+    balancer.on_release_status(status)
+    oldest = Statistic.oldest_errors(len(names.request_classes))
+    sums = SequentialTestSums(
+        origin="x",
+        age=1.0,
+        outcomes=9,
+        instance=1,
+        incarnation=77,
+        build=42,
+        stage=1,
+        ratios={oldest: RatioSum(2.5, 9), oldest + 1: RatioSum(9.0, 9)},
+    )
+    inherited = knowledge(balancer, names, "me")
+    inherited.put([sums], START)
+    balancer.apply_inherited_state(inherited.inherited_state(inherited.merged(START), START))
+    assert balancer.state.test
+    assert balancer.state.test.sums.fused[oldest] == 2.5
