--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -190,7 +190,14 @@
         self.next_reply().fail(reason)
 
     def stop_reading(self) -> None:
-        """Nothing more is read, and `check_clocks` closes: its client sends again what waits unread."""
+        """Nothing more is read: its client sends again what waits unread.
+
+        The close comes at once, for only a close tells the client: the system resets a connection on which
+        something lies unread. Answers that it is slow to take go out first, and `check_clocks` closes.
+        """
+        if not unsent(self.sock):
+            self.close()
+            return
         self.begin_end()
         self.reader.cancel()
         with suppress(OSError):
--- a/tests/support/connections.py
+++ b/tests/support/connections.py
@@ -80,6 +80,18 @@
         self.sock.close()
         return found
 
+    async def to_the_reset(self) -> bytes:
+        """What it reads until the connection is reset; fails at an end that is none."""
+        found = b""
+        try:
+            async with asyncio.timeout(PATIENCE):
+                while part := await self.loop.sock_recv(self.sock, 65536):
+                    found += part
+        except ConnectionResetError:
+            self.sock.close()
+            return found
+        raise AssertionError(f"the connection ended as if all had been read, behind {found!r}")
+
     async def reads(self, wanted: bytes) -> None:
         found = b""
         async with asyncio.timeout(PATIENCE):
