--- a/tests/test_recording_in_service.py
+++ b/tests/test_recording_in_service.py
@@ -32,6 +32,7 @@
         await asyncio.sleep(0.3)
         stand.marshals[0].process.kill()
         await stand.marshals[0].process.wait()
+        await stand.marshals[0].reader
         files = sorted((one.path / "rec").glob("*.pcapng"))
         data = b"".join(each.read_bytes() for each in files)
         exchanges, reading = read(data)
@@ -57,6 +58,7 @@
         for marshal in stand.marshals:
             if marshal.process.returncode is None:
                 marshal.process.kill()
+            await marshal.reader  # to the end of its log: else its pipe outlives the event loop
         await stand.world.stop()
         stand.folder.cleanup()
         one.folder.cleanup()
