--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections import deque
 from contextlib import suppress
@@ -11,7 +12,8 @@
 from gatebank.proxy.buffers import ProtocolError
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.replies import PendingReply
-from gatebank.proxy.messages import CommandError
+from gatebank.proxy.log import LOG, log_kv
+from gatebank.proxy.messages import ClientRequest, CommandError
 from gatebank.proxy.sockets import has_unsent_bytes, peer_has_closed, seconds_since_received
 from gatebank.proxy.stream import Stream
 
@@ -178,14 +180,29 @@
             return
         reply.request_id = request.id
         request.timeout -= self.read_delay
-        is_expired = request.timeout <= 0 or self.client_disconnected
-        time_left = self.downstream.time_until_sigkill() - limits.SIGKILL_MARGIN_S
-        # A request whose deadline is too close to SIGKILL might be killed unanswered.
-        if is_expired or time_left < request.timeout:
+        if reason := self.reason_not_to_start(request):
+            self.log_not_started(request, reason, self.read_delay)
             reply.reject(None)  # The request was not sent to any endpoint, so the client may send it again.
         else:
             self.downstream.handler.start_request(request, reply)
 
+    def reason_not_to_start(self, request: ClientRequest) -> str:
+        """Return why a request must not be sent to any endpoint; empty if it may be sent."""
+        if self.client_disconnected:
+            return "its client disconnected"
+        if request.timeout <= 0:
+            return "its deadline has passed"
+        # A request whose deadline is too close to SIGKILL might be killed unanswered.
+        if self.downstream.time_until_sigkill() - limits.SIGKILL_MARGIN_S < request.timeout:
+            return "SIGKILL may come before its deadline"
+        return ""
+
+    def log_not_started(self, request: ClientRequest, reason: str, waited: float) -> None:
+        """Log at debug level that a request is rejected unsent, ``waited`` seconds after its last byte."""
+        if LOG.isEnabledFor(logging.DEBUG):
+            id_text = request.id.decode(errors="replace")
+            log_kv("not_started", logging.DEBUG, id=id_text, why=reason, waited=waited)
+
     # End of reading.
 
     def on_disconnect(self) -> None:
--- a/gatebank/proxy/log_events.py
+++ b/gatebank/proxy/log_events.py
@@ -59,6 +59,7 @@
     LogEvent("client_cut", ("why", "owed")),
     LogEvent("accept_failed", ("why",)),
     LogEvent("unanswered", ("workload",)),
+    LogEvent("not_started", ("id", "why", "waited"), debug_only=True),
     LogEvent("shot", ("id", "ending", "build", "node", "workload", "took"), debug_only=True),
     LogEvent("answered", ("id", "how", "workload", "shots"), debug_only=True),
     # The process itself.
