--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -11,10 +11,11 @@
 
 from gatebank.proxy.buffers import ProtocolError
 from gatebank.proxy.downstream import limits
+from gatebank.proxy.downstream.arrival import ArrivalClock
 from gatebank.proxy.downstream.replies import PendingReply
 from gatebank.proxy.log import LOG, log_kv
 from gatebank.proxy.messages import ClientRequest, CommandError
-from gatebank.proxy.sockets import has_unsent_bytes, peer_has_closed, seconds_since_received
+from gatebank.proxy.sockets import has_unsent_bytes, peer_has_closed
 from gatebank.proxy.stream import Stream
 
 if TYPE_CHECKING:
@@ -38,10 +39,7 @@
         has_sent_command: Whether a whole command has arrived.
         closing: Whether reading has ended; `check_timeouts` closes the connection.
         consecutive_bad_commands: Number of consecutive commands that could not be carried out.
-        read_delay: Seconds for which the commands that were read last had waited in the kernel's buffer; 0.0
-            if the wait was shorter than `limits.MIN_COUNTED_WAIT_S`.
-        client_disconnected: Whether the client ended the connection while the commands that were read last
-            waited in the kernel's buffer.
+        arrival: Measures how long a command has waited since it arrived.
     """
 
     def __init__(self, downstream: Downstream, sock: socket.socket) -> None:
@@ -59,8 +57,7 @@
         self.has_sent_command = False
         self.closing = False
         self.consecutive_bad_commands = 0
-        self.read_delay = 0.0
-        self.client_disconnected = False
+        self.arrival = ArrivalClock(sock)
         self.replies_written = asyncio.Event()  # Set when all replies so far are written to the kernel.
         self.reader = asyncio.ensure_future(self.read())
 
@@ -95,7 +92,7 @@
                 recorded_bytes = self.account_read(size)
                 if self.recording and recorded_bytes is not None:
                     self.recording.record_request_bytes(recorded_bytes)
-                self.measure_read_delay()
+                self.arrival.on_read()
                 command_count = await self.handle_commands()
                 self.update_partial_command_times(command_count)
                 self.is_handling_read = False
@@ -113,12 +110,6 @@
             if not self.closing:
                 self.close()
 
-    def measure_read_delay(self) -> None:
-        """Measure how long the bytes just read had waited, and whether the client disconnected meanwhile."""
-        delay = seconds_since_received(self.sock)
-        self.read_delay = delay if delay >= limits.MIN_COUNTED_WAIT_S else 0.0
-        self.client_disconnected = self.read_delay > 0 and peer_has_closed(self.sock)
-
     async def handle_commands(self) -> int:
         """Handle the whole commands in the buffer, no faster than replies are written.
 
@@ -179,16 +170,23 @@
             reply.send(self.session.pong)
             return
         reply.request_id = request.id
-        request.timeout -= self.read_delay
-        if reason := self.reason_not_to_start(request):
-            self.log_not_started(request, reason, self.read_delay)
+        waited = self.arrival.seconds_waited()
+        request.timeout -= waited
+        if reason := self.reason_not_to_start(request, waited):
+            self.log_not_started(request, reason, waited)
             reply.reject(None)  # The request was not sent to any endpoint, so the client may send it again.
         else:
             self.downstream.handler.start_request(request, reply)
 
-    def reason_not_to_start(self, request: ClientRequest) -> str:
-        """Return why a request must not be sent to any endpoint; empty if it may be sent."""
-        if self.client_disconnected:
+    def reason_not_to_start(self, request: ClientRequest, waited: float) -> str:
+        """Return why a request must not be sent to any endpoint; empty if it may be sent.
+
+        Args:
+            request: The request, with the timeout that is left to its client.
+            waited: Seconds for which the request had waited since its last byte arrived.
+        """
+        # Nothing is read while a command waits, so only this check sees that its client has gone.
+        if waited and peer_has_closed(self.sock):
             return "its client disconnected"
         if request.timeout <= 0:
             return "its deadline has passed"
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+import time
+from collections.abc import Awaitable, Callable
 from contextlib import closing
 from math import inf
 from typing import Any
@@ -350,6 +351,85 @@
             client.sock.close()
 
 
+# Guards against attempts for clients that closed during the pause behind bad commands (review/3).
+async def test_request_behind_bad_commands_is_not_sent_after_its_client_disconnected() -> None:
+    """A client sends bad commands and a request at once, reads the error lines, and closes.
+
+    The pause behind each bad command hid the close, which was looked for at the read alone: the request was
+    sent to an endpoint up to 0.7 s after it, where 0.1 s are allowed (STANDING).
+    """
+    bad_count = 3
+    error_line = b"-ERR unknown command\r\n"
+    with closing(DownstreamHarness()) as harness:
+        harness.start_clock_checks()
+        client, connection = await harness.connect_client()
+        client.sock.send(bad_count * encode_command(b"NOPE") + encode_request(1))
+        await client.expect(bad_count * error_line)
+        client.sock.close()
+        closed_at = time.monotonic()
+        await wait_until(lambda: connection.closed or harness.handler.started_ids)
+        assert not harness.handler.started_ids, (
+            f"started {time.monotonic() - closed_at:.2f} s after the close"
+        )
+
+
+async def wait_in_pause_behind_bad_command(
+    harness: DownstreamHarness, client: Client, request: bytes
+) -> None:
+    """Send a request behind bad commands; it is handled after the pauses behind these, 0.3 s in all."""
+    client.sock.send(2 * encode_command(b"NOPE") + request)
+
+
+async def wait_behind_full_pipeline(harness: DownstreamHarness, client: Client, request: bytes) -> None:
+    """Send a request behind as many as a connection may have in flight; these are answered 0.3 s later."""
+    others = b"".join(encode_request(number) for number in range(limits.MAX_PIPELINED))
+    client.sock.send(others + request)
+    await wait_until(lambda: len(harness.handler.pending) == limits.MAX_PIPELINED)
+    await asyncio.sleep(0.3)
+    harness.handler.answer_all()
+
+
+async def wait_behind_unwritten_answer(harness: DownstreamHarness, client: Client, request: bytes) -> None:
+    """Send a request behind one whose large answer the client begins to read 0.3 s later."""
+    small_buffer, large_buffer, answer = 4096, 1 << 20, bytes(64 << 10)
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, small_buffer)
+    (connection,) = harness.downstream.connections
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, small_buffer)
+    client.sock.send(encode_request(1))
+    await wait_until(lambda: harness.handler.pending)
+    (reply,) = harness.handler.pending
+    del harness.handler.pending[reply]
+    reply.serve(memoryview(answer))
+    client.sock.send(request)
+    await asyncio.sleep(0.3)
+    assert connection.unwritten and harness.handler.started_ids == [1], "the order was not forced"
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, large_buffer)
+    await client.expect(b"$%d\r\n%b\r\n" % (len(answer), answer))
+
+
+# Guards against timeouts that count anew after a wait between the read of a request and its start (review/3).
+@pytest.mark.parametrize(
+    "wait",
+    [wait_in_pause_behind_bad_command, wait_behind_full_pipeline, wait_behind_unwritten_answer],
+)
+async def test_time_that_a_request_waits_behind_other_commands_counts(
+    wait: Callable[[DownstreamHarness, Client, bytes], Awaitable[None]],
+) -> None:
+    """A request that was read waits for 0.3 s behind other commands of its connection.
+
+    Its timeout counted from the end of the wait, so that endpoints were told more than was left to the
+    client; 0.15 s more are allowed (STANDING).
+    """
+    number, timeout, waited, tolerance = 900, 0.9, 0.3, 0.15
+    with closing(DownstreamHarness()) as harness:
+        client, _ = await harness.connect_client()
+        await wait(harness, client, encode_request(number, int(timeout * 1000)))
+        await wait_until(lambda: number in harness.handler.started_ids)
+        request = next(request for request in harness.handler.pending.values() if int(request.id) == number)
+        assert request.timeout <= timeout - waited + tolerance, request.timeout
+        client.sock.close()
+
+
 async def test_request_due_just_before_sigkill_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """After SIGTERM, a request arrives whose deadline is close to the earliest SIGKILL.
 
