--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -83,16 +83,16 @@
         """Read commands until the client disconnects or sends malformed input."""
         try:
             while True:
-                size = await self.reading.run(
-                    self.loop.sock_recv_into(self.sock, self.receive_buffer.free_space())
-                )
+                space = self.receive_buffer.free_space()
+                self.arrival.before_read()
+                size = await self.reading.run(self.loop.sock_recv_into(self.sock, space))
                 if not size:
                     self.on_disconnect()
                     break
                 recorded_bytes = self.account_read(size)
                 if self.recording and recorded_bytes is not None:
                     self.recording.record_request_bytes(recorded_bytes)
-                self.arrival.on_read()
+                self.arrival.on_read(took_all=size < len(space))
                 command_count = await self.handle_commands()
                 self.update_partial_command_times(command_count)
                 self.is_handling_read = False
@@ -259,6 +259,8 @@
             now: Loop time.
             is_crowded: Whether more than half of the allowed connections are open.
         """
+        if self.is_handling_read:
+            self.arrival.check_empty()
         if (self.is_handling_read or self.closing) and self.replies and peer_has_closed(self.sock):
             self.on_disconnect()  # The connection is not being read, so only this check sees the disconnect.
         elif self.closing:
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -33,6 +33,10 @@
 
 pytestmark = pytest.mark.uvloop
 
+# A request that waits while its connection is not read.
+WAITING_NUMBER = 900
+WAITING_TIMEOUT_MS = 900
+
 
 @pytest.mark.parametrize(
     ("close", "prepare"),
@@ -430,6 +434,71 @@
         client.sock.close()
 
 
+async def wait_in_kernel_behind_bad_commands(client: Client, harness: DownstreamHarness) -> float:
+    """Send a request while the pause behind bad commands lasts, 0.6 s in all, and newer bytes behind it."""
+    client.sock.send(3 * encode_command(b"NOPE"))
+    await wait_until(lambda: next(iter(harness.downstream.connections)).consecutive_bad_commands)
+    sent_at = time.monotonic()
+    client.sock.send(encode_request(WAITING_NUMBER, WAITING_TIMEOUT_MS))
+    for byte in encode_request(1)[:-1]:  # A client that writes slowly: one byte within MIN_COUNTED_WAIT_S.
+        if harness.handler.started_ids:
+            break
+        await asyncio.sleep(limits.MIN_COUNTED_WAIT_S * 3 / 4)
+        client.sock.send(bytes([byte]))
+    return sent_at
+
+
+async def wait_in_kernel_behind_full_pipeline(client: Client, harness: DownstreamHarness) -> float:
+    """Send a request behind as many as may be in flight; they are answered as newer bytes arrive."""
+    client.sock.send(b"".join(encode_request(number) for number in range(limits.MAX_PIPELINED + 1)))
+    await wait_until(lambda: len(harness.handler.pending) == limits.MAX_PIPELINED)
+    sent_at = time.monotonic()
+    client.sock.send(encode_request(WAITING_NUMBER, WAITING_TIMEOUT_MS))
+    await asyncio.sleep(0.4)
+    client.sock.send(encode_request(WAITING_NUMBER + 1))
+    harness.handler.answer_all()
+    return sent_at
+
+
+# Guards against timeouts that count anew after a wait in the kernel, behind which newer bytes arrived.
+@pytest.mark.parametrize("wait", [wait_in_kernel_behind_bad_commands, wait_in_kernel_behind_full_pipeline])
+async def test_time_that_a_request_waits_in_the_kernel_before_newer_bytes_counts(
+    wait: Callable[[Client, DownstreamHarness], Awaitable[float]],
+) -> None:
+    """A request waits in the kernel while its connection is not read, and newer bytes arrive behind it.
+
+    The age of the newest byte counted as the request's wait, so that endpoints were told more than was left
+    to the client; 0.15 s more are allowed (STANDING).
+    """
+    tolerance = 0.15
+    with closing(DownstreamHarness()) as harness:
+        harness.start_clock_checks()
+        client, _ = await harness.connect_client()
+        sent_at = await wait(client, harness)
+        await wait_until(lambda: WAITING_NUMBER in harness.handler.started_ids)
+        waited = time.monotonic() - sent_at
+        request = next(r for r in harness.handler.pending.values() if int(r.id) == WAITING_NUMBER)
+        assert request.timeout <= WAITING_TIMEOUT_MS / 1000 - waited + tolerance, (request.timeout, waited)
+        client.sock.close()
+
+
+async def test_request_that_arrives_late_in_a_pause_keeps_its_time() -> None:
+    """A request arrives at the end of the pause behind bad commands: the pause before it does not count."""
+    pause_before, tolerance = 0.4, 0.25
+    with closing(DownstreamHarness()) as harness:
+        harness.start_clock_checks()
+        client, _ = await harness.connect_client()
+        client.sock.send(3 * encode_command(b"NOPE"))
+        await asyncio.sleep(pause_before)
+        sent_at = time.monotonic()
+        client.sock.send(encode_request(WAITING_NUMBER, WAITING_TIMEOUT_MS))
+        await wait_until(lambda: harness.handler.started_ids)
+        waited = time.monotonic() - sent_at
+        (request,) = harness.handler.pending.values()
+        assert request.timeout >= WAITING_TIMEOUT_MS / 1000 - waited - tolerance, (request.timeout, waited)
+        client.sock.close()
+
+
 async def test_request_due_just_before_sigkill_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """After SIGTERM, a request arrives whose deadline is close to the earliest SIGKILL.
 
