--- a/gatebank/proxy/sockets.py
+++ b/gatebank/proxy/sockets.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from collections.abc import Callable, Coroutine, Generator
+from contextlib import suppress
 from fcntl import ioctl
 from types import coroutine
 from typing import Any, Protocol, TypeVar
@@ -163,6 +164,17 @@
         return -1
 
 
+def acknowledge_received(sock: socket.socket) -> None:
+    """Acknowledge all received bytes now, not after 40 ms or more or with the next bytes written.
+
+    While a segment is not acknowledged, the peer's system may hold further small ones (Nagle's algorithm),
+    so that a look at the receive queue does not show what the peer has sent. Nothing happens where the
+    system does not provide the option.
+    """
+    with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
+
 TCP_INFO_LAST_RECEIVED = slice(52, 56)  # linux/tcp.h, struct tcp_info: tcpi_last_data_recv, in ms.
 
 
--- a/gatebank/proxy/upstream/connection.py
+++ b/gatebank/proxy/upstream/connection.py
@@ -16,7 +16,7 @@
 from gatebank.proxy.buffers import ProtocolError
 from gatebank.proxy.log import log_kv
 from gatebank.proxy.messages import EndpointReply
-from gatebank.proxy.sockets import peek_receive_state
+from gatebank.proxy.sockets import acknowledge_received, peek_receive_state
 from gatebank.proxy.stream import Stream
 from gatebank.proxy.upstream.attempt import Attempt
 
@@ -24,6 +24,10 @@
     from gatebank.proxy.upstream.pool import ConnectionPool
 
 ENDPOINT_SIDE = 1  # The endpoint's side in a recording: the side that accepted the connection.
+# Delay after a reply before its connection is used again: a duplicate of the reply, which may arrive some
+# milliseconds late (STANDING), would be taken for the reply to the next attempt. The delay is harmful where
+# an endpoint gets more than some tens of attempts a second from one instance and connections are expensive.
+REUSE_DELAY_S = 0.02
 # A reply counts as broken off when its next bytes do not arrive within this multiple of the connect timeout:
 # endpoints write a reply without a pause.
 REPLY_STALL_FACTOR = 2
@@ -180,6 +184,16 @@
             raise ProtocolError("more bytes than one reply")
         return False
 
+    def start_reuse_delay(self) -> None:
+        """Start the delay after which the next attempt may be written.
+
+        The endpoint's system may hold a second copy of the reply until the reply is acknowledged. The delay
+        therefore starts with the acknowledgement: the copy arrives within it, not with the next attempt.
+        """
+        acknowledge_received(self.sock)
+        self.idle_since = time.monotonic()
+        self.reusable_at = self.idle_since + REUSE_DELAY_S
+
     def abandon(self, attempt: Attempt, outcome: Outcome) -> None:
         """Close the connection of an attempt that was ended early, so that no more is sent or read."""
         if self.recording and attempt.label:
--- a/gatebank/proxy/upstream/pool.py
+++ b/gatebank/proxy/upstream/pool.py
@@ -9,15 +9,11 @@
 from gatebank.events import Outcome
 from gatebank.proxy.messages import EndpointReply
 from gatebank.proxy.upstream.attempt import Attempt, EndpointKey
-from gatebank.proxy.upstream.connection import EndpointConnection
+from gatebank.proxy.upstream.connection import REUSE_DELAY_S, EndpointConnection
 
 if TYPE_CHECKING:
     from gatebank.proxy.upstream.pools import Upstream
 
-# Delay after a reply before its connection is used again: a duplicate of the reply, which may arrive some
-# milliseconds late (STANDING), would be taken for the reply to the next attempt. The delay is harmful where
-# an endpoint gets more than some tens of attempts a second from one instance and connections are expensive.
-REUSE_DELAY_S = 0.02
 # Minimum delay before a timer checks again for connections whose reuse delay was not quite over.
 MIN_RECHECK_DELAY_S = 0.001
 
@@ -74,8 +70,7 @@
         if self.delisted:
             connection.close()
         elif not connection.closed:
-            connection.idle_since = time.monotonic()
-            connection.reusable_at = connection.idle_since + REUSE_DELAY_S
+            connection.start_reuse_delay()
             self.idle.append(connection)
             if self.waiting_attempts:
                 self.upstream.loop.call_later(REUSE_DELAY_S, self.on_reuse_delay_over)
--- a/gatebank/proxy/upstream/pools.py
+++ b/gatebank/proxy/upstream/pools.py
@@ -14,8 +14,8 @@
 from gatebank.proxy.resp2.session import EndpointSession
 from gatebank.proxy.sockets import StartRecording, open_socket
 from gatebank.proxy.upstream.attempt import Attempt, EndpointKey
-from gatebank.proxy.upstream.connection import EndpointConnection
-from gatebank.proxy.upstream.pool import REUSE_DELAY_S, ConnectionPool
+from gatebank.proxy.upstream.connection import REUSE_DELAY_S, EndpointConnection
+from gatebank.proxy.upstream.pool import ConnectionPool
 from gatebank.settings import Settings
 
 DEFAULT_BUFFER_BYTES = 1 << 20  # Memory that all receive buffers together may grow by.
