--- a/benchmarks/endpoints.py
+++ b/benchmarks/endpoints.py
@@ -61,6 +61,7 @@
         "executed_twice": [name.decode() for name in counts.executed_twice()],
         "requests": requests,
         "arrivals": counts.arrivals,
+        "connections_accepted": sum(endpoint.connections_accepted for endpoint in world.endpoints.values()),
     }
 
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -57,6 +57,7 @@
         executed_twice: Request ids and idempotency keys that were executed more than once.
         requests: Key, fields and body size of each command, in order of arrival.
         arrivals: Unix time of each command's arrival, and the endpoint's port.
+        connections_accepted: Number of connections accepted since the start, whatever was queried before.
     """
 
     received: int
@@ -64,6 +65,7 @@
     executed_twice: list[str]
     requests: list[tuple[str, str, int]]
     arrivals: list[tuple[float, str]]
+    connections_accepted: int
 
 
 class Fleet:
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -61,6 +61,12 @@
         yield from variants if number % 2 else reversed(variants)
 
 
+def processor_seconds(process: int) -> float:
+    """Return the processor time in seconds that a process has used."""
+    fields = Path(f"/proc/{process}/stat").read_text().rpartition(") ")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def check_out(revision: str, folder: Path) -> None:
     """Extract another revision into an empty folder, with a link to this checkout's virtual environment."""
     archive = subprocess.run(["git", "archive", revision], cwd=ROOT, capture_output=True, check=True)
--- a/benchmarks/ready.py
+++ b/benchmarks/ready.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
 import socket
 import subprocess
@@ -24,7 +23,7 @@
 
 import typer
 
-from benchmarks.harness import ROOT
+from benchmarks.harness import ROOT, processor_seconds
 
 HOST = "127.0.0.1"
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -70,12 +69,6 @@
     return json.dumps(example)
 
 
-def processor_seconds(process: int) -> float:
-    """Return the processor time in seconds that a process has used."""
-    fields = Path(f"/proc/{process}/stat").read_text().rpartition(") ")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def answers_ping(port: int) -> bool:
     """Return whether an instance answers PING; false if it does not listen yet."""
     try:
--- a/gatebank/fakes/endpoint.py
+++ b/gatebank/fakes/endpoint.py
@@ -55,6 +55,7 @@
 
     Attributes:
         connections: The open connections.
+        connections_accepted: Number of connections accepted so far.
         idempotency_keys: The event loop's time at which each idempotency key was last received. No key is
             ever removed.
         started_ms: The start time in the endpoint list, in milliseconds of Unix time; 0 for long ago.
@@ -71,6 +72,7 @@
     lifecycle: str = "SERVING"
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
+    connections_accepted: int = 0
     idempotency_keys: dict[bytes, float] = field(default_factory=dict)
     started_ms: int = 0
     running: asyncio.Event = field(default_factory=asyncio.Event)
@@ -100,6 +102,7 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
         self.connections.add(writer)
+        self.connections_accepted += 1
         fault = self.world.faults.get(self.name, "")
         if fault == "refuse":
             writer.transport.abort()
