--- a/gatebank/fakes/endpoint.py
+++ b/gatebank/fakes/endpoint.py
@@ -24,6 +24,7 @@
 
 import asyncio
 import random
+import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -49,6 +50,11 @@
 CLOSING_BEHAVIOURS = ("half", "cut")
 
 
+def use_default_delay(writer: asyncio.StreamWriter) -> None:
+    """Let the system delay small segments as it does by default (Nagle's algorithm), unlike asyncio."""
+    writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+
+
 @dataclass
 class FakeEndpoint:
     """An endpoint of a world.
@@ -103,6 +109,7 @@
         """Serve one connection until it ends."""
         self.connections.add(writer)
         self.connections_accepted += 1
+        use_default_delay(writer)
         fault = self.world.faults.get(self.name, "")
         if fault == "refuse":
             writer.transport.abort()
