--- a/gatebank/proxy/downstream/arrival.py
+++ b/gatebank/proxy/downstream/arrival.py
@@ -17,9 +17,6 @@
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.sockets import peek_receive_state, seconds_since_received
 
-# After a read that emptied the kernel's buffer, the buffer counts as empty for this time without a look.
-MAX_UNCHECKED_S = limits.MIN_COUNTED_WAIT_S / 2
-
 
 class ArrivalClock:
     """Measures the wait of the commands of one connection.
@@ -28,22 +25,21 @@
         received_at: Monotonic time from which the commands that were read last have waited.
         empty_at: Monotonic time at which the kernel's buffer was last known to be empty.
         found_empty: Whether the kernel's buffer was empty as the last read began.
-        took_all: Whether the last read emptied the kernel's buffer.
+        may_hold_bytes: Whether the kernel's buffer may hold bytes that arrived before the next read begins.
     """
 
-    __slots__ = ("empty_at", "found_empty", "received_at", "sock", "took_all")
+    __slots__ = ("empty_at", "found_empty", "may_hold_bytes", "received_at", "sock")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.received_at = time.monotonic()
         self.empty_at = self.received_at
-        self.found_empty = False
-        self.took_all = False
+        self.found_empty = True
+        self.may_hold_bytes = False
 
     def before_read(self) -> None:
         """Determine whether bytes wait for the next read, or the read waits for its bytes."""
-        just_emptied = self.took_all and time.monotonic() - self.empty_at < MAX_UNCHECKED_S
-        self.found_empty = just_emptied or peek_receive_state(self.sock) != 1
+        self.found_empty = not self.may_hold_bytes or peek_receive_state(self.sock) != 1
 
     def on_read(self, took_all: bool) -> None:
         """Determine from when on the bytes just read have waited.
@@ -54,9 +50,13 @@
         now = time.monotonic()
         newest_byte_at = now - seconds_since_received(self.sock)
         self.received_at = newest_byte_at if self.found_empty else min(newest_byte_at, self.empty_at)
-        self.took_all = took_all
+        self.may_hold_bytes = not took_all
         self.empty_at = now if took_all else self.received_at
 
+    def on_reading_paused(self) -> None:
+        """Take into account that nothing is read for a time, while further bytes may arrive."""
+        self.may_hold_bytes = True
+
     def check_empty(self) -> None:
         """Look whether the kernel's buffer is empty; called from time to time while nothing is read."""
         if peek_receive_state(self.sock) != 1:
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -119,12 +119,14 @@
         command_count = 0
         for arguments in self.parse_commands():
             while len(self.replies) >= limits.MAX_PIPELINED or self.unwritten:
+                self.arrival.on_reading_paused()
                 self.replies_written.clear()
                 await self.replies_written.wait()
             self.handle_command(arguments)
             command_count += 1
             # Other clients are served first: repeated bad commands delay their sender alone.
             if self.consecutive_bad_commands:
+                self.arrival.on_reading_paused()
                 await asyncio.sleep(limits.BAD_COMMAND_PAUSE_S * self.consecutive_bad_commands)
         return command_count
 
