--- a/tests/support/instance_process.py
+++ b/tests/support/instance_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from pathlib import Path
 
 # The root of the checkout.
@@ -53,3 +54,15 @@
 
         async with self.line_added:
             await asyncio.wait_for(self.line_added.wait_for(was_logged), TIMEOUT_S)
+
+    async def stop(self) -> None:
+        """Kill the process if it still runs, and read its log to the end.
+
+        Otherwise the pipe of the log outlives the test's event loop.
+        """
+        if self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                self.process.kill()
+        self.may_read_log.set()  # The process can end only once its pipe is read.
+        await self.process.wait()
+        await self.log_reader
