--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -39,6 +39,8 @@
 MAX_WRITE_PARTS = 64  # Buffers passed to one system call; more parts are joined before the call.
 
 LISTEN_BACKLOG = 1024
+# Connections accepted before the open ones are served again: a flood of new ones delays these by as much.
+MAX_ACCEPTS_PER_TURN = 64
 ACCEPT_RETRY_S = 0.05  # Delay after a failed accept, after which descriptors may be free again.
 MAKE_ROOM_RETRY_S = 0.01  # Interval of the search for a connection that may be closed to make room.
 SHUTDOWN_CHECK_INTERVAL_S = 0.02  # Interval of the search for idle connections during shutdown.
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -83,7 +83,26 @@
                 log_kv("accept_failed", logging.WARNING, why=error)
                 await asyncio.sleep(limits.ACCEPT_RETRY_S)
                 continue
-            await self.wait_for_room(self.add_connection(sock))
+            newest = self.add_connection(sock)
+            await self.wait_for_room(newest)
+            self.accept_waiting()
+
+    def accept_waiting(self) -> None:
+        """Accept the connections that wait in the backlog, up to the bounds.
+
+        uvloop accepts one connection in each turn of the loop. Under load a turn takes tens of milliseconds,
+        and the requests of a crowd of new clients would wait in the backlog past their deadlines.
+        """
+        listener = self.listener
+        room = min(limits.MAX_ACCEPTS_PER_TURN, self.max_connections - len(self.connections))
+        for _ in range(room):
+            if not listener:
+                return
+            try:
+                sock, _ = listener.accept()
+            except OSError:  # None waits, or the next `sock_accept` reports the error.
+                return
+            self.add_connection(sock)
 
     async def wait_for_room(self, newest: ClientConnection) -> None:
         """Close connections until the bound is met; meanwhile, new ones wait in the backlog.
--- a/tests/test_client_request_waits.py
+++ b/tests/test_client_request_waits.py
@@ -55,6 +55,31 @@
             client.sock.close()
 
 
+async def test_crowd_of_new_clients_is_accepted_before_its_requests_time_out() -> None:
+    """Many clients connect at once, each with a request, while the turns of the loop are long.
+
+    uvloop completes one accept in a turn. With turns of 30 to 45 ms, connections waited in the backlog for
+    0.8 s: requests with little time left were answered more than half a second after their deadline, and so
+    lost (`calm+mass` of the variant north).
+    """
+    client_count, turn_duration, timeout_ms = 40, 0.02, 500
+
+    async def prolong_turns() -> None:
+        while True:
+            time.sleep(turn_duration)
+            await asyncio.sleep(0)
+
+    with closing(DownstreamHarness()) as harness:
+        clients = [Client(harness.address) for _ in range(client_count)]
+        for number, client in enumerate(clients):
+            client.sock.send(encode_request(number, timeout_ms))
+        harness.tasks.append(asyncio.ensure_future(prolong_turns()))
+        await asyncio.sleep(timeout_ms / 1000)
+        assert len(harness.handler.started_ids) == client_count, sorted(harness.handler.started_ids)
+        for client in clients:
+            client.sock.close()
+
+
 async def test_request_that_timed_out_before_the_accept_is_rejected() -> None:
     """The client waits no longer: the request is not sent to any endpoint and is answered at once."""
     with closing(DownstreamHarness(max_connections=1)) as harness:
