--- a/gatebank/fakes/endpoint.py
+++ b/gatebank/fakes/endpoint.py
@@ -30,6 +30,7 @@
 
 from gatebank.fakes.command_counts import command_fields
 from gatebank.fakes.wire import read_command
+from gatebank.proxy.sockets import seconds_since_received
 
 if TYPE_CHECKING:
     from gatebank.fakes.world import AttemptObserver, World
@@ -68,6 +69,7 @@
         running: Cleared while the endpoint is paused. A paused endpoint receives commands, and executes them
             once it is resumed.
         idle_timeout: Seconds without a command after which the endpoint closes a connection; None for never.
+        command_age: Seconds for which the newest command had been at this machine when it was handled.
     """
 
     world: World
@@ -83,6 +85,7 @@
     started_ms: int = 0
     running: asyncio.Event = field(default_factory=asyncio.Event)
     idle_timeout: float | None = None
+    command_age: float = 0.0
 
     def __post_init__(self) -> None:
         """Set the endpoint running."""
@@ -154,6 +157,7 @@
         self.world.counts.count_received(self.address, arguments)
         self.world.notify()
         behaviour = self.world.next_behaviour(self.name, fault)
+        self.command_age = seconds_since_received(writer.get_extra_info("socket"))
         attempt = self.world.on_attempt(self, arguments) if self.world.on_attempt else None
         await self.running.wait()
         if behaviour != "busy":
--- /dev/null
+++ b/tests/support/flooded_instance.py
@@ -0,0 +1,152 @@
+"""An instance beside flooding clients: its memory, and what ordinary clients see meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.support.instance_process import ROOT, InstanceProcess
+from tests.support.ordinary_clients import OrdinaryAnswers
+from tests.support.socket_scenarios import SocketScenario
+
+MB = 1 << 20
+ENDPOINTS = 8
+AFTER_FLOOD_S = 0.5  # Time after a flood in which the ordinary clients still run.
+SAMPLE_S = 0.02
+LARGE_VALUE_BYTES = 60_000
+REPLY_TIME_S = 0.02
+
+
+def anonymous_memory(pid: int) -> int:
+    """Return the RssAnon of a process in bytes.
+
+    Raises:
+        OSError: The process has ended.
+    """
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) * 1024 for line in lines if line.startswith("RssAnon"))
+
+
+@dataclass(slots=True)
+class Observation:
+    """What one play showed.
+
+    Attributes:
+        at_rest: RssAnon before the flood, in bytes.
+        peak: Highest RssAnon, in bytes.
+        samples: RssAnon by time, in bytes, one in `SAMPLE_S`.
+        ordinary: What ordinary clients saw.
+        max_descriptors: Highest number of open descriptors.
+    """
+
+    at_rest: int = 0
+    peak: int = 0
+    samples: list[int] = field(default_factory=list)
+    ordinary: OrdinaryAnswers = field(default_factory=OrdinaryAnswers)
+    max_descriptors: int = 0
+    log: list[str] = field(default_factory=list)
+
+    def __str__(self) -> str:
+        """Return the observation in one line."""
+        waits = sorted(self.ordinary.waits)
+        half = len(self.samples) // 2
+        growth = (max(self.samples[half:]) - max(self.samples[:half])) / MB if half else 0.0
+        return (
+            f"rest {self.at_rest / MB:.1f} peak {self.peak / MB:.1f} MB, second half {growth:+.1f}; waits "
+            f"{waits[len(waits) // 2]:.3f} median {waits[-1]:.3f} most; {self.ordinary.answers}; "
+            f"{self.max_descriptors} descriptors"
+        )
+
+
+class FloodedInstance:
+    """An instance with fakes, started with the given limits; use as an asynchronous context manager.
+
+    Attributes:
+        behaviour: What the endpoints do with commands of other keys; empty for the usual reply.
+    """
+
+    def __init__(self, memory_mb: int, sockets: int = 1024) -> None:
+        self.scenario = SocketScenario()
+        self.memory_mb = memory_mb
+        self.sockets = sockets
+        self.behaviour = ""
+        self.observation = Observation()
+
+    async def __aenter__(self) -> FloodedInstance:
+        scenario = self.scenario
+        world = scenario.world
+        world.mean_reply_time = REPLY_TIME_S
+        world.choose_behaviour = self.choose_behaviour
+        await world.start()
+        await scenario.do_limits(0, f"sockets={self.sockets}", f"memory_mb={self.memory_mb}")
+        await scenario.do_endpoints(0, *(f"e{number}:41" for number in range(ENDPOINTS)))
+        await scenario.do_instances(0, "1")
+        await scenario.do_burst(0, "50", "read", "value")
+        self.observation.at_rest = anonymous_memory(self.process.process.pid)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for _, writer in self.scenario.clients.values():
+            writer.close()
+        for instance in self.scenario.instances:
+            await instance.stop()
+        await self.scenario.world.stop()
+        self.scenario.folder.cleanup()
+
+    @property
+    def process(self) -> InstanceProcess:
+        """The instance's process."""
+        return self.scenario.instances[0]
+
+    def choose_behaviour(self, name: str) -> str:
+        """Return what an endpoint does with the command received last, by the command's key."""
+        arguments = self.scenario.world.received[-1][1]
+        match arguments[1]:
+            case b"large":
+                return f"value:{LARGE_VALUE_BYTES // len(name)}"
+            case b"slow":
+                return "late:1.5"
+        return self.behaviour
+
+    async def play(self, kind: str, clients: int, seconds: float) -> Observation:
+        """Run flooding clients for a time beside ordinary clients.
+
+        Returns:
+            What was observed during the flood and for half a second after it.
+        """
+        observation = self.observation
+        flood = await self.start_program("flood_clients", kind, str(clients))
+        ordinary = await self.start_program("ordinary_clients")
+        watch = asyncio.create_task(self.watch_process())
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            await flood.communicate(b"")
+            await asyncio.sleep(AFTER_FLOOD_S)
+            output, _ = await ordinary.communicate(b"")
+            watch.cancel()
+        observation.ordinary = OrdinaryAnswers(**json.loads(output))
+        observation.log = self.process.lines
+        return observation
+
+    async def start_program(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
+        """Start a program of clients, which runs until its input ends."""
+        command = (sys.executable, "-m", f"tests.support.{name}", self.process.address, *arguments)
+        pipe = asyncio.subprocess.PIPE
+        return await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdin=pipe, stdout=pipe)
+
+    async def watch_process(self) -> None:
+        """Sample memory and descriptors until cancelled or the process has ended."""
+        observation = self.observation
+        folder = Path(f"/proc/{self.process.process.pid}")
+        with suppress(OSError, StopIteration):
+            while True:
+                observation.samples.append(anonymous_memory(self.process.process.pid))
+                observation.peak = max(observation.samples[-1], observation.peak)
+                descriptors = len(list((folder / "fd").iterdir()))
+                observation.max_descriptors = max(descriptors, observation.max_descriptors)
+                await asyncio.sleep(SAMPLE_S)
--- /dev/null
+++ b/tests/test_client_floods.py
@@ -0,0 +1,58 @@
+"""Crowds of slow, malformed and greedy clients: memory stays within the limit, others are served in time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support.flooded_instance import MB, FloodedInstance
+from tests.support.ordinary_clients import TIMEOUT_S
+
+pytestmark = pytest.mark.uvloop
+
+CROWD_S = 10.0
+SINGLE_CLIENT_S = 6.0
+LEAST_MEMORY_MB = 32  # The least that the operators' pages name.
+USUAL_MEMORY_MB = 192
+DESCRIPTORS = 1024
+ANSWER_SLACK_S = 0.1  # The settings' slack of an answer, and PROTOCOL's 50 ms of every time limit.
+
+
+async def check_flood(kind: str, clients: int, memory_mb: int, seconds: float) -> None:
+    """Flood an instance, and check its memory, its descriptors and the answers of ordinary clients."""
+    async with FloodedInstance(memory_mb, DESCRIPTORS) as instance:
+        observation = await instance.play(kind, clients, seconds)
+        assert instance.process.process.returncode is None, "".join(observation.log[-8:])
+    text = str(observation)
+    assert observation.peak <= memory_mb * MB, text
+    assert observation.max_descriptors <= DESCRIPTORS, text
+    ordinary = observation.ordinary
+    assert "none" not in ordinary.answers, text
+    assert max(ordinary.waits) <= TIMEOUT_S + ANSWER_SLACK_S, text
+    assert ordinary.answers["satisfied"] > 0, text
+    assert not any("event=fault" in line for line in observation.log), text
+
+
+@pytest.mark.parametrize("memory_mb", [LEAST_MEMORY_MB, USUAL_MEMORY_MB])
+@pytest.mark.parametrize(
+    ("kind", "clients"),
+    [
+        ("half_body", 500),
+        ("half_head", 500),
+        ("whole_head", 300),
+        ("unread", 300),
+        ("out_of_order", 300),
+        ("leave", 6),
+    ],
+)
+async def test_crowd_does_not_take_memory_beyond_the_limit(kind: str, clients: int, memory_mb: int) -> None:
+    await check_flood(kind, clients, memory_mb, CROWD_S)
+
+
+@pytest.mark.parametrize(("kind", "clients"), [("pieces", 300), ("garbage", 300), ("connect", 100)])
+async def test_crowd_of_other_kinds_is_bounded_at_the_least_memory(kind: str, clients: int) -> None:
+    await check_flood(kind, clients, LEAST_MEMORY_MB, SINGLE_CLIENT_S)
+
+
+@pytest.mark.parametrize("kind", ["ping", "unsound", "new_names", "short"])
+async def test_one_connection_at_full_speed_delays_no_other_client(kind: str) -> None:
+    await check_flood(kind, 1, LEAST_MEMORY_MB, SINGLE_CLIENT_S)
