--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -132,6 +132,7 @@
             raise CommandError("this id is in hand")
         if not self.requests.has_room(client_request):
             self.count("overfull")
+            self.log_refused(client_request, "no memory for another request", 0)
             reply.reject(None)
             return
         self.count("repeated" if client_request.is_client_retry else "first tries")
@@ -179,6 +180,8 @@
         request = self.requests.get(number)
         if request and not request.answered:
             self.count(disposition)
+            if disposition == "rejected":
+                self.log_refused(request.client_request, "load shed, or no endpoint", len(request.attempts))
             self.mark_answered(request, disposition)
             send(request.reply)
             self.requests.settle(request)
@@ -213,6 +216,12 @@
                 shots=len(request.attempts),
             )
 
+    def log_refused(self, client_request: ClientRequest, reason: str, attempts: int) -> None:
+        """Log at debug level why a request is rejected, and after how many attempts."""
+        if LOG.isEnabledFor(logging.DEBUG):
+            id_text = client_request.id.decode(errors="replace")
+            log_kv("refused", logging.DEBUG, id=id_text, why=reason, shots=attempts)
+
     # Attempts.
 
     def start_attempt(
@@ -230,6 +239,11 @@
             not_sent = EndpointReply(Outcome.NOT_SENT)
             self.on_attempt_result(request, number, endpoint_index, now, not_sent)
             return
+        if number and LOG.isEnabledFor(logging.DEBUG):
+            request_id = request.client_request.id.decode(errors="replace")
+            log_kv(
+                "retry", logging.DEBUG, id=request_id, shot=number, node=self.registry.names[endpoint_index]
+            )
         started = StartedAttempt(
             self, request, number=number, endpoint=endpoint, started=now, deadline=deadline
         )
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -12,6 +12,7 @@
 from gatebank.proxy.buffers import ProtocolError
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.arrival import ArrivalClock
+from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.downstream.replies import PendingReply
 from gatebank.proxy.log import LOG, log_kv
 from gatebank.proxy.messages import ClientRequest, CommandError
@@ -108,7 +109,7 @@
         finally:
             self.is_handling_read = False
             if not self.closing:
-                self.close()
+                self.close(CloseReason.DISCONNECTED)
 
     async def handle_commands(self) -> int:
         """Handle the whole commands in the buffer, no faster than replies are written.
@@ -221,7 +222,7 @@
             if self.reader is not asyncio.current_task():
                 self.reader.cancel()
         else:
-            self.close()
+            self.close(CloseReason.DISCONNECTED)
 
     def close_with_error(self, reason: str) -> None:
         """Stop reading, and queue an error reply after the pending replies.
@@ -240,7 +241,7 @@
         replies are sent.
         """
         if not has_unsent_bytes(self.sock):
-            self.close()
+            self.close(CloseReason.NOT_READ)
             return
         self.start_closing()
         self.reader.cancel()
@@ -279,7 +280,7 @@
             if now - self.timeout_start >= (
                 limits.CLOSING_TIMEOUT_S if has_unsent_bytes(self.sock) else limits.LINGER_S
             ):
-                self.close()
+                self.close(CloseReason.ERROR_SENT)
         elif now - self.timeout_start >= limits.CLOSING_TIMEOUT_S:
             # The error line is due, so all requests before it get their final answer now.
             self.timeout_start = now
@@ -287,7 +288,7 @@
             for reply in replies:
                 self.downstream.handler.fail_reply(reply)
             if not replies:  # All requests are answered, but the client does not read the replies.
-                self.close()
+                self.close(CloseReason.WRITE_STALLED)
 
     def check_partial_command(self, now: float) -> None:
         """Close the connection with an error if the rest of a command does not arrive in time."""
@@ -306,7 +307,7 @@
         else:
             limit = limits.IDLE_TIMEOUT_S
         if now - self.timeout_start >= limit and not self.close_would_lose_data(now):
-            self.close()
+            self.close(CloseReason.IDLE)
 
     # Replies.
 
@@ -346,7 +347,7 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            self.downstream.close_soon(self)
+            self.downstream.close_soon(self, CloseReason.WRITE_FAILED)
             return
         if self.recording and sent:
             self.recording.record_reply_bytes(b"".join(parts)[:sent], "; ".join(comments))
@@ -381,16 +382,19 @@
                     self.recording.record_reply_bytes(part)
                 self.unwritten = self.unwritten[len(part) :]
                 self.downstream.unwritten_bytes -= len(part)
-        except (OSError, TimeoutError):
-            self.close()
-            return
-        self.on_written()
+        except TimeoutError:
+            self.close(CloseReason.WRITE_STALLED)
+        except OSError:
+            self.close(CloseReason.WRITE_FAILED)
+        else:
+            self.on_written()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Release all resources; the client of the requests in flight counts as gone."""
         if self.closed:
             return
         self.closed = True
+        self.log_closed(reason)
         self.downstream.remove_connection(self)
         self.unwritten = b""
         self.release(CLIENT_SIDE)
@@ -398,3 +402,24 @@
             reply = self.replies.popleft()
             if reply.parts is None:
                 self.downstream.handler.on_client_disconnect(reply)
+
+    def log_closed(self, reason: CloseReason) -> None:
+        """Count the close by its reason, and log it at debug level with the ids that are not answered."""
+        self.downstream.handler.count(f"closed {reason}")
+        if LOG.isEnabledFor(logging.DEBUG):
+            unanswered = [reply.request_id for reply in self.replies if reply.parts is None]
+            ids = b",".join(request_id for request_id in unanswered if request_id).decode(errors="replace")
+            log_kv("client_closed", logging.DEBUG, why=reason, unanswered=len(unanswered), ids=ids)
+
+    @property
+    def state(self) -> str:
+        """The connection's state in one word, for the counters of the status line."""
+        if self.closing:
+            return "closing"
+        if self.unwritten:
+            return "unwritten"
+        if self.replies:
+            return "waiting"
+        if self.partial_command_since:
+            return "partial"
+        return "idle" if self.has_sent_command else "new"
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 import socket
+from collections import Counter
 from math import inf
 
 from gatebank.proxy.buffers import MemoryBudget
 from gatebank.proxy.configuration import Address, MemoryBounds
 from gatebank.proxy.downstream import limits
+from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
 from gatebank.proxy.log import log_kv
@@ -156,7 +158,7 @@
             if not connection.partial_command_since and not connection.close_would_lose_data(
                 self.loop.time()
             ):
-                connection.close()
+                connection.close(CloseReason.SURPLUS)
 
     def make_room(self, newest: ClientConnection | None) -> bool:
         """Close one idle connection other than the newest, to make room for another.
@@ -186,7 +188,7 @@
             None,
         )
         if chosen:
-            chosen.close()
+            chosen.close(CloseReason.MAKE_ROOM)
         return chosen is not None
 
     def add_unwritten(self, size: int) -> None:
@@ -197,7 +199,7 @@
             log_kv(
                 "client_cut", logging.WARNING, why="too many unwritten reply bytes", owed=self.unwritten_bytes
             )
-            self.close_soon(largest)
+            self.close_soon(largest, CloseReason.UNWRITTEN_BYTES)
 
     def report_protocol_error(self, reason: str) -> None:
         """Count a connection that sent malformed input, and log it unless another was logged just before."""
@@ -206,9 +208,9 @@
             self.protocol_error_logged_at = self.loop.time()
             log_kv("client_broken", logging.WARNING, why=reason, so_far=self.protocol_error_count)
 
-    def close_soon(self, connection: ClientConnection) -> None:
+    def close_soon(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close a connection in the next turn of the loop, not while the caller still works on it."""
-        self.loop.call_soon(connection.close)
+        self.loop.call_soon(connection.close, reason)
 
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a connection that closes, and its unwritten bytes, from the totals."""
@@ -225,7 +227,7 @@
         if not connection.partial_command_since and not connection.close_would_lose_data(now):
             # A client that has just connected may be about to send its first command.
             if connection.has_sent_command or is_past_grace(connection, now):
-                connection.close()
+                connection.close(CloseReason.SHUTDOWN)
         elif self.time_until_sigkill() < limits.STOP_READING_MARGIN_S and not connection.is_being_read():
             connection.stop_reading()
 
@@ -280,7 +282,17 @@
             self.listener.close()
         self.listener = None
         for connection in list(self.connections):
-            connection.close()
+            connection.close(CloseReason.SHUTDOWN)
+
+    def status_counts(self) -> dict[str, int]:
+        """Return the connections by state and the bytes that they hold, for the status line."""
+        states = Counter(connection.state for connection in self.connections)
+        counts = {f"clients_{state}": number for state, number in sorted(states.items())}
+        counts["client_buffer_bytes"] = sum(
+            len(connection.receive_buffer.data) for connection in self.connections
+        )
+        counts["unwritten_bytes"] = self.unwritten_bytes
+        return counts
 
 
 def is_past_grace(connection: ClientConnection, now: float) -> bool:
--- a/gatebank/proxy/downstream/replies.py
+++ b/gatebank/proxy/downstream/replies.py
@@ -51,6 +51,9 @@
     def fail_reply(self, reply: ReplySink) -> None:
         """Give the final answer now, as the client's connection must end."""
 
+    def count(self, name: str) -> None:
+        """Increment a counter of the periodic status line."""
+
 
 class PendingReply:
     """The reply to one command, in its place among the replies of the connection.
--- a/gatebank/proxy/log_events.py
+++ b/gatebank/proxy/log_events.py
@@ -28,7 +28,8 @@
 
 STANDING_KEYS = (
     "in_hand", "clients", "clients_unread", "clients_peak", "node_connections", "node_connections_peak",
-    "memory_mb", "lag", "node_connections_opened", "words_told", "words_heard", "words_dropped",
+    "memory_now_mb", "memory_mb", "lag", "node_connections_opened", "words_told", "words_heard",
+    "words_dropped",
 )  # fmt: skip
 
 EVENTS = (
@@ -59,6 +60,10 @@
     LogEvent("client_cut", ("why", "owed")),
     LogEvent("accept_failed", ("why",)),
     LogEvent("unanswered", ("workload",)),
+    LogEvent("client_closed", ("why", "unanswered", "ids"), debug_only=True),
+    LogEvent("node_closed", ("node", "why"), debug_only=True),
+    LogEvent("retry", ("id", "shot", "node"), debug_only=True),
+    LogEvent("refused", ("id", "why", "shots"), debug_only=True),
     LogEvent("not_started", ("id", "why", "waited"), debug_only=True),
     LogEvent("shot", ("id", "ending", "build", "node", "workload", "took"), debug_only=True),
     LogEvent("answered", ("id", "how", "workload", "shots"), debug_only=True),
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -38,12 +38,13 @@
 import uvloop
 
 from gatebank.proxy.clock import Clock
-from gatebank.proxy.configuration import Configuration, ConfigurationError
+from gatebank.proxy.configuration import MB, Configuration, ConfigurationError
 from gatebank.proxy.control_plane import ControlPlaneWatches, Reloader, read_initial_knowledge
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.dispatcher import Dispatcher
 from gatebank.proxy.downstream import Downstream
 from gatebank.proxy.log import LOG, log_event, log_kv
+from gatebank.proxy.memory_use import anonymous_bytes
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.sockets import ConnectionRecording
@@ -272,6 +273,9 @@
         if test := dispatcher.balancer.state.test:
             counts["trial"] = f"{test.build}/{test.sums.stage}"
             counts["sums"] = str([round(total, 1) for total in test.sums.fused])
+        counts.update(self.downstream.status_counts())
+        counts["node_buffer_bytes"] = self.upstream.buffer_bytes()
+        counts["request_bytes"] = dispatcher.requests.size_bytes
         for part in self.enabled_parts():
             counts.update(part.status_counts())
         log_event(
@@ -283,6 +287,7 @@
                 "clients_peak": self.downstream.peak_count,
                 "node_connections": self.upstream.open_count,
                 "node_connections_peak": self.upstream.peak_count,
+                "memory_now_mb": round(anonymous_bytes() / MB, 1),
                 "memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
                 "lag": round(dispatcher.max_timer_lag, 3),
                 "node_connections_opened": self.upstream.opened_total,
--- a/gatebank/proxy/upstream/connection.py
+++ b/gatebank/proxy/upstream/connection.py
@@ -14,7 +14,7 @@
 
 from gatebank.events import Outcome
 from gatebank.proxy.buffers import ProtocolError
-from gatebank.proxy.log import log_kv
+from gatebank.proxy.log import LOG, log_kv
 from gatebank.proxy.messages import EndpointReply
 from gatebank.proxy.sockets import acknowledge_received, peek_receive_state
 from gatebank.proxy.stream import Stream
@@ -75,7 +75,7 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            self.close()
+            self.close("a write failed")
             return True
         attempt.written = sent == len(data)
         if self.recording:
@@ -99,10 +99,11 @@
                 self.recording.record_request_bytes(rest)
             self.writer = None
         except OSError:
-            self.close()
+            self.close("a write failed")
 
     async def read(self) -> None:
         """Read replies until the connection ends or fails, or the endpoint violates the protocol."""
+        reason = "the endpoint ended it"
         try:
             while not self.closed:
                 size = await self.receive()
@@ -121,10 +122,11 @@
         except ProtocolError as error:
             idle_time = {} if self.attempt else {"idle": time.monotonic() - self.idle_since}
             log_kv("node_broken", logging.WARNING, node=self.pool.name, why=error, **idle_time)
-        except OSError:
-            pass
+            reason = "a malformed reply"
+        except OSError as error:
+            reason = str(error)
         finally:
-            self.close()
+            self.close(reason)
 
     async def receive(self) -> int:
         """Read the next bytes into the buffer.
@@ -152,7 +154,7 @@
         # Unread bytes mean that the rest has arrived and this process is late.
         if not self.closed and not self.has_unread():
             log_kv("node_broken", logging.WARNING, node=self.pool.name, why="a reply stopped before its end")
-            self.close()
+            self.close("a reply stopped before its end")
 
     def handle_replies(self) -> None:
         """Pass the reply, if it is whole, to the attempt in flight.
@@ -199,13 +201,19 @@
         if self.recording and attempt.label:
             self.abandonment_comment = f"{attempt.label} {outcome.value}"
         self.attempt = None
-        self.close()
+        self.close(f"its attempt ended: {outcome.value}")
+
+    def close(self, reason: str) -> None:
+        """Release all resources; the attempt in flight ends as lost, or as unsent if not fully written.
 
-    def close(self) -> None:
-        """Release all resources; the attempt in flight ends as lost, or as unsent if not fully written."""
+        Args:
+            reason: Reason of the close, for the log.
+        """
         if self.closed:
             return
         self.closed = True
+        if LOG.isEnabledFor(logging.DEBUG):
+            log_kv("node_closed", logging.DEBUG, node=self.pool.name, why=reason)
         self.pool.remove_connection(self)
         self.release(ENDPOINT_SIDE, self.abandonment_comment)
         attempt = self.attempt
--- a/gatebank/proxy/upstream/pool.py
+++ b/gatebank/proxy/upstream/pool.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from gatebank.proxy.upstream.pools import Upstream
 
+DELISTED = "its endpoint is off the list"  # Reason of a close, for the log.
 # Minimum delay before a timer checks again for connections whose reuse delay was not quite over.
 MIN_RECHECK_DELAY_S = 0.001
 
@@ -61,14 +62,14 @@
             if not attempt.done and connection.write(attempt):
                 return
         if self.delisted:
-            connection.close()
+            connection.close(DELISTED)
         elif not connection.closed and connection not in self.idle:
             self.idle.append(connection)
 
     def park_after_reply(self, connection: EndpointConnection) -> None:
         """Make a connection idle after its reply; it is not used again before the reuse delay is over."""
         if self.delisted:
-            connection.close()
+            connection.close(DELISTED)
         elif not connection.closed:
             connection.start_reuse_delay()
             self.idle.append(connection)
@@ -103,6 +104,6 @@
             elif now - connection.idle_since < self.upstream.max_idle_age and not connection.has_unread():
                 chosen = connection
             else:
-                connection.close()
+                connection.close("idle too long, ended, or with surplus bytes")
         self.idle += reversed(not_reusable_yet)
         return chosen
--- a/gatebank/proxy/upstream/pools.py
+++ b/gatebank/proxy/upstream/pools.py
@@ -15,7 +15,7 @@
 from gatebank.proxy.sockets import StartRecording, open_socket
 from gatebank.proxy.upstream.attempt import Attempt, EndpointKey
 from gatebank.proxy.upstream.connection import REUSE_DELAY_S, EndpointConnection
-from gatebank.proxy.upstream.pool import ConnectionPool
+from gatebank.proxy.upstream.pool import DELISTED, ConnectionPool
 from gatebank.settings import Settings
 
 DEFAULT_BUFFER_BYTES = 1 << 20  # Memory that all receive buffers together may grow by.
@@ -162,7 +162,7 @@
         """Close the connection that has been idle for the longest time; return False if none is idle."""
         idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
         if idle:
-            min(idle, key=lambda connection: connection.idle_since).close()
+            min(idle, key=lambda connection: connection.idle_since).close("room for another")
         return bool(idle)
 
     def retain(self, listed: set[EndpointKey]) -> None:
@@ -170,7 +170,7 @@
         for key, pool in list(self.pools.items()):
             pool.delisted = key not in listed
             while pool.delisted and pool.idle:
-                pool.idle[-1].close()
+                pool.idle[-1].close(DELISTED)
             self.remove_if_unused(pool)
 
     def remove_if_unused(self, pool: ConnectionPool) -> None:
@@ -183,7 +183,7 @@
         oldest_allowed = time.monotonic() - self.max_idle_age
         for pool in list(self.pools.values()):
             while pool.idle and pool.idle[0].idle_since < oldest_allowed:
-                pool.idle[0].close()
+                pool.idle[0].close("idle too long")
 
     def close(self) -> None:
         """Close all connections, including those being opened."""
@@ -191,4 +191,12 @@
             task.cancel()
         for pool in list(self.pools.values()):
             for connection in list(pool.connections):
-                connection.close()
+                connection.close("shutdown")
+
+    def buffer_bytes(self) -> int:
+        """Return the size of all receive buffers in bytes."""
+        return sum(
+            len(connection.receive_buffer.data)
+            for pool in self.pools.values()
+            for connection in pool.connections
+        )
--- a/tests/support/connections.py
+++ b/tests/support/connections.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -54,6 +55,7 @@
             list[int](),
             list[int](),
         )
+        self.counts = Counter[str]()
 
     def start_request(self, request: ClientRequest, reply: PendingReply) -> None:
         self.pending[reply] = request
@@ -67,6 +69,9 @@
         if self.pending.pop(reply, None):
             reply.fail("given up")
 
+    def count(self, name: str) -> None:
+        self.counts[name] += 1
+
     def answer_all(self) -> None:
         """Answer all requests, the last one first: its answer waits for the others, then all are written."""
         for reply in reversed(list(self.pending)):
