--- a/gatebank/proxy/buffers.py
+++ b/gatebank/proxy/buffers.py
@@ -50,4 +50,4 @@
         """Add ``size`` bytes that were read into `free_space` to the received bytes."""
 
     def close(self) -> None:
-        """Return the memory reserved from the memory budget."""
+        """Free the buffer's memory, and return what was reserved from the memory budget."""
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -104,7 +104,7 @@
                     await asyncio.sleep(0)
         except ProtocolError as error:
             self.close_with_error(str(error))
-        except OSError:
+        except (OSError, asyncio.CancelledError):  # A task that ends cancelled keeps its frame in a cycle.
             pass
         finally:
             self.is_handling_read = False
@@ -386,6 +386,8 @@
             self.close(CloseReason.WRITE_STALLED)
         except OSError:
             self.close(CloseReason.WRITE_FAILED)
+        except asyncio.CancelledError:  # As in `read`.
+            return
         else:
             self.on_written()
 
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -85,8 +85,7 @@
                 log_kv("accept_failed", logging.WARNING, why=error)
                 await asyncio.sleep(limits.ACCEPT_RETRY_S)
                 continue
-            newest = self.add_connection(sock)
-            await self.wait_for_room(newest)
+            await self.wait_for_room(self.add_connection(sock))
             self.accept_waiting()
 
     def accept_waiting(self) -> None:
@@ -136,11 +135,15 @@
         """Check all connections' timeouts periodically; runs until the task is cancelled."""
         while True:
             await asyncio.sleep(limits.CHECK_INTERVAL_S)
-            now = self.loop.time()
-            is_crowded = 2 * len(self.connections) > self.max_connections
-            for connection in list(self.connections):
-                connection.check_timeouts(now, is_crowded)
-            self.close_surplus_idle()
+            self.check_all_timeouts()  # A local variable here would keep a closed connection.
+
+    def check_all_timeouts(self) -> None:
+        """Check each connection's timeouts once, and close surplus idle connections."""
+        now = self.loop.time()
+        is_crowded = 2 * len(self.connections) > self.max_connections
+        for connection in list(self.connections):
+            connection.check_timeouts(now, is_crowded)
+        self.close_surplus_idle()
 
     def close_surplus_idle(self) -> None:
         """Close the least recently used idle connections beyond a third of the allowed number.
@@ -244,10 +247,14 @@
         await self.stop_listening()
         self.shutting_down = True
         while self.connections:
-            for connection in list(self.connections):
-                self.close_if_finished(connection)
+            self.close_finished()
             await asyncio.sleep(limits.SHUTDOWN_CHECK_INTERVAL_S)
 
+    def close_finished(self) -> None:
+        """During shutdown, close all connections that are idle."""
+        for connection in list(self.connections):
+            self.close_if_finished(connection)
+
     async def stop_listening(self) -> None:
         """Close the listener after taking the connections that the kernel has already accepted.
 
--- a/gatebank/proxy/http.py
+++ b/gatebank/proxy/http.py
@@ -47,8 +47,8 @@
         self.address = address
         self.loop = asyncio.get_running_loop()
         self.sock: socket.socket | None = None
-        self.buffer = bytearray(READ_BYTES)
-        self.parser = httptools.HttpResponseParser(self)
+        self.buffer = bytearray()
+        self.parser: httptools.HttpResponseParser | None = None
         self.body: list[bytes] = []
         self.done = False
         self.keeps_alive = True
@@ -68,15 +68,18 @@
     def on_message_complete(self) -> None:
         """Handle the end of a reply."""
         if self.messages_begun == 1:
+            assert self.parser
             self.done = True
             self.keeps_alive = self.parser.should_keep_alive()
             self.status = self.parser.get_status_code()
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket, and free the buffer and the parser, which refers to this client."""
         if self.sock:
             self.sock.close()
         self.sock = None
+        self.buffer = bytearray()
+        self.parser = None
 
     async def call(self, method: str, target: str, time_limit: float, form: str | None = None) -> HttpReply:
         """Make one call; the connection is kept open if both sides allow it.
@@ -144,13 +147,13 @@
             NoReplyError: The request was not written completely.
         """
         request = self.encode(method, target, form)
+        # A kept connection is unusable if it has ended or holds data that no request asked for.
+        if self.sock and peek_receive_state(self.sock):
+            self.close()
         self.parser = httptools.HttpResponseParser(self)
         self.body = []
         self.done = False
         self.messages_begun = 0
-        # A kept connection is unusable if it has ended or holds data that no request asked for.
-        if self.sock and peek_receive_state(self.sock):
-            self.close()
         try:
             sock = await self.open()
             await self.loop.sock_sendall(sock, request)
@@ -169,6 +172,7 @@
     async def open(self) -> socket.socket:
         """Return the connection, opening a new one if none was kept."""
         if not self.sock:
+            self.buffer = bytearray(READ_BYTES)
             self.sock = open_socket(self.address)
             await self.loop.sock_connect(self.sock, self.address)
         return self.sock
@@ -180,6 +184,7 @@
             NoReplyError: The connection ended, or the data is not HTTP or exceeds MAX_BODY_BYTES.
         """
         assert self.sock
+        assert self.parser
         try:
             size = await self.loop.sock_recv_into(self.sock, self.buffer)
             if size:
--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -109,7 +109,17 @@
         return self
 
     def close(self) -> None:
-        """Return the memory reserved from the memory budget."""
+        """Free the buffer's memory, and return what was reserved from the memory budget.
+
+        Nothing can be read into the buffer afterwards. Slices that the caller still has stay valid.
+        """
+        self.data = b""
+        self.start = 0
+        self.end = 0
+        self.release_growth()
+
+    def release_growth(self) -> None:
+        """Return the memory that the buffer has grown by to the budget."""
         self.memory_budget.available += self.reserved_bytes
         self.reserved_bytes = 0
 
@@ -123,7 +133,7 @@
         unparsed = self.incomplete_bytes
         if not unparsed and len(self.data) > INITIAL_BUFFER_BYTES:
             self.data = bytearray(INITIAL_BUFFER_BYTES)
-            self.close()
+            self.release_growth()
         elif self.start:
             self.data[:unparsed] = self.data[self.start : self.end]
         self.start = 0
--- a/gatebank/proxy/upstream/connection.py
+++ b/gatebank/proxy/upstream/connection.py
@@ -100,6 +100,8 @@
             self.writer = None
         except OSError:
             self.close("a write failed")
+        except asyncio.CancelledError:  # As in `read`.
+            return
 
     async def read(self) -> None:
         """Read replies until the connection ends or fails, or the endpoint violates the protocol."""
@@ -125,6 +127,8 @@
             reason = "a malformed reply"
         except OSError as error:
             reason = str(error)
+        except asyncio.CancelledError:  # A task that ends cancelled keeps its frame in a reference cycle.
+            pass
         finally:
             self.close(reason)
 
