--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -37,6 +37,19 @@
         run_in_checked_loop(leak())
 
 
+def test_connection_that_is_left_open_is_closed_before_the_loop() -> None:
+    """Collected after the loop, its end would be reported, which breaks an `ast.parse` under way."""
+    writers = []
+
+    async def leave_open() -> None:
+        server = await asyncio.start_server(lambda _, writer: writers.append(writer), "127.0.0.1", 0)
+        writers.append((await asyncio.open_connection(*server.sockets[0].getsockname()))[1])
+        await asyncio.sleep(0.01)
+
+    run_in_checked_loop(leave_open())
+    assert [writer.get_extra_info("socket").fileno() for writer in writers] == [-1, -1]
+
+
 def test_processes_that_are_waited_for_are_not_reported() -> None:
     """Processes that ended by themselves or were killed, with their pipes read to the end."""
 
