--- a/gatebank/proxy/downstream/arrival.py
+++ b/gatebank/proxy/downstream/arrival.py
@@ -62,6 +62,10 @@
         if peek_receive_state(self.sock) != 1:
             self.empty_at = time.monotonic()
 
+    def seconds_since_empty(self) -> float:
+        """Return the seconds since the kernel's buffer was last known to be empty."""
+        return time.monotonic() - self.empty_at
+
     def seconds_waited(self) -> float:
         """Return for how long the commands that were read last have waited until now.
 
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -16,7 +16,7 @@
 from gatebank.proxy.downstream.replies import PendingReply
 from gatebank.proxy.log import LOG, log_kv
 from gatebank.proxy.messages import ClientRequest, CommandError
-from gatebank.proxy.sockets import has_unsent_bytes, peer_has_closed
+from gatebank.proxy.sockets import has_unsent_bytes, peer_has_closed, unread_bytes
 from gatebank.proxy.stream import Stream
 
 if TYPE_CHECKING:
@@ -29,6 +29,7 @@
     """A client connection; `close` releases all resources that the connection owns.
 
     Attributes:
+        number: Number of the connection since the start, from 1.
         replies: Replies that are not being written yet, in command order, including replies whose answer is
             not known yet; `flush` and `close` remove them.
         unwritten: Reply bytes that the kernel has not taken yet.
@@ -50,6 +51,7 @@
         super().__init__(downstream.loop, sock, buffer, recording)
         self.parse_commands = buffer.commands
         self.downstream = downstream
+        self.number = next(downstream.connection_numbers)
         self.replies: deque[PendingReply] = deque()
         self.unwritten = b""
         self.timeout_start = downstream.loop.time()
@@ -78,6 +80,18 @@
             now - self.timeout_start < limits.WRITE_STALL_TIMEOUT_S and has_unsent_bytes(self.sock)
         )
 
+    def close_may_be_hidden(self) -> bool:
+        """Return whether the client's close may wait behind bytes that this machine has no room for.
+
+        The kernel learns of a close only after the bytes before it. While the connection is not read, a
+        client may have left that many bytes and closed.
+        """
+        return (
+            self.is_handling_read
+            and self.arrival.seconds_since_empty() > limits.MAX_UNREAD_S
+            and unread_bytes(self.sock) > limits.MAX_UNREAD_BYTES
+        )
+
     # Reading commands.
 
     async def read(self) -> None:
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -39,6 +39,13 @@
 MAX_WRITE_PARTS = 64  # Buffers passed to one system call; more parts are joined before the call.
 
 LISTEN_BACKLOG = 1024
+# Receive buffer of a client connection in the kernel, which uses twice as much. The end of a connection is
+# visible only if all bytes before it fit.
+KERNEL_RECEIVE_BYTES = 208 * 1024
+# A connection that is not read and holds more unread bytes than this may have been closed without a sign. The
+# value is below what fits into KERNEL_RECEIVE_BYTES in segments of a hundred bytes.
+MAX_UNREAD_BYTES = 32 * 1024
+MAX_UNREAD_S = 0.05  # Time for which such a connection counts as open: half of what STANDING allows.
 # Connections accepted before the open ones are served again: a flood of new ones delays these by as much.
 MAX_ACCEPTS_PER_TURN = 64
 ACCEPT_RETRY_S = 0.05  # Delay after a failed accept, after which descriptors may be free again.
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -6,6 +6,8 @@
 import logging
 import socket
 from collections import Counter
+from contextlib import suppress
+from itertools import count
 from math import inf
 
 from gatebank.proxy.buffers import MemoryBudget
@@ -51,6 +53,7 @@
         self.buffer_budget = MemoryBudget(bounds.buffer_growth_bytes)
         self.session = ClientSession(request_classes_by_name(settings), tenants_by_name(settings))
         self.connections: dict[ClientConnection, None] = {}
+        self.connection_numbers = count(1)
         self.unwritten_bytes = 0
         self.peak_count = 0
         self.shutting_down = False
@@ -72,6 +75,8 @@
         """
         self.listener = open_socket(address)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with suppress(OSError):
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, limits.KERNEL_RECEIVE_BYTES)
         self.listener.bind(address)
         self.listener.listen(limits.LISTEN_BACKLOG)
 
--- a/gatebank/proxy/downstream/replies.py
+++ b/gatebank/proxy/downstream/replies.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from gatebank.proxy.messages import ClientRequest
+from gatebank.proxy.sockets import peer_has_closed
 
 if TYPE_CHECKING:
     from gatebank.proxy.downstream.connection import ClientConnection
@@ -21,6 +22,16 @@
 
     request: RequestInFlight | None
 
+    @property
+    def source(self) -> int:
+        """Number of the connection that the request arrived on; 0 for requests of this process."""
+
+    def client_has_gone(self) -> bool:
+        """Return whether the client has ended its connection, even if this has not been handled yet."""
+
+    def close_may_be_hidden(self) -> bool:
+        """Return whether the client may have closed its connection behind bytes that are not read yet."""
+
     def serve(self, value: memoryview) -> None:
         """Answer with an endpoint's value, which is valid only during this call."""
 
@@ -73,6 +84,19 @@
         self.request_id: bytes | None = None
         self.parts: Sequence[bytes | memoryview] | None = None
 
+    @property
+    def source(self) -> int:
+        """See `ReplySink`."""
+        return self.connection.number
+
+    def client_has_gone(self) -> bool:
+        """See `ReplySink`."""
+        return self.connection.closed or peer_has_closed(self.connection.sock)
+
+    def close_may_be_hidden(self) -> bool:
+        """See `ReplySink`."""
+        return self.connection.close_may_be_hidden()
+
     def serve(self, value: memoryview) -> None:
         """See `ReplySink`."""
         self.send(self.connection.session.encode_value(value))
--- a/gatebank/proxy/sockets.py
+++ b/gatebank/proxy/sockets.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Coroutine, Generator
 from contextlib import suppress
 from fcntl import ioctl
+from termios import FIONREAD
 from types import coroutine
 from typing import Any, Protocol, TypeVar
 
@@ -154,6 +155,14 @@
         return False
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return the number of bytes in the receive queue; 0 if the system does not provide it."""
+    try:
+        return int.from_bytes(ioctl(sock, FIONREAD, bytes(4)), sys.byteorder)
+    except OSError:
+        return 0
+
+
 def peek_receive_state(sock: socket.socket) -> int:
     """Peek at the receive queue: 1 if bytes wait there, 0 if none do, -1 if the connection has ended."""
     try:
--- a/gatebank/proxy/started_attempt.py
+++ b/gatebank/proxy/started_attempt.py
@@ -53,7 +53,8 @@
         """Return the bytes to send, or None if the attempt must not be sent any more.
 
         An attempt that waited for a connection is dropped if the endpoint no longer fits, the request was
-        answered, the deadline has passed, or the balancer no longer allows the attempt.
+        answered, the deadline has passed, or the balancer no longer allows the attempt. No attempt is sent
+        for a client that has gone, as late as this instance may notice it otherwise.
         """
         dispatcher = self.dispatcher
         now = dispatcher.clock()
@@ -63,6 +64,11 @@
             self.request, self.number, now
         ):
             return None
+        if self.request.reply.client_has_gone():
+            dispatcher.on_client_disconnect(self.request.reply)
+            return None
+        if self.request.reply.close_may_be_hidden():
+            return None
         return self.request.client_request.command(self.deadline - now)
 
     def endpoint_still_fits(self) -> bool:
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -51,6 +51,19 @@
         self._transport = transport
         self._replayed = request
 
+    @property
+    def source(self) -> int:
+        """See `ReplySink`."""
+        return 0
+
+    def client_has_gone(self) -> bool:
+        """See `ReplySink`; the player withdraws a request by `InProcessTransport.give_up`."""
+        return False
+
+    def close_may_be_hidden(self) -> bool:
+        """See `ReplySink`."""
+        return False
+
     def serve(self, value: memoryview) -> None:
         """Report that the request was served."""
         self._transport.finish(self._replayed, ReplayOutcome.SERVED)
--- a/tests/support/connections.py
+++ b/tests/support/connections.py
@@ -310,6 +310,14 @@
     def __init__(self) -> None:
         self.request, self.answers = None, list[str]()
 
+    source = 1
+
+    def client_has_gone(self) -> bool:
+        return False
+
+    def close_may_be_hidden(self) -> bool:
+        return False
+
     def reject(self, retry_after: float | None) -> None:
         self.answers.append("rejected")
 
