--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -39,6 +39,7 @@
     ReleaseStatus,
     ReplyStatus,
     Request,
+    RetrySafety,
 )
 from gatebank.peer_messages import PeerMessage
 from gatebank.proxy.clock import Clock
@@ -49,12 +50,15 @@
 from gatebank.proxy.log import LOG, log_kv
 from gatebank.proxy.messages import ClientRequest, CommandError, EndpointReply
 from gatebank.proxy.peer_transport import PeerTransport
+from gatebank.proxy.recent_ids import KEEP_AFTER_DEADLINE_S, RecentRequestIds
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.requests import RequestInFlight, RequestTable
 from gatebank.proxy.started_attempt import StartedAttempt
 from gatebank.proxy.upstream import Upstream
 from gatebank.settings import Settings
 
+# The ids of answered requests may use this part of the memory for requests in flight, in addition to it.
+RECENT_ID_SHARE = 4
 DEFAULT_HEALTH_TIMEOUT_S = 1.0  # Health check timeout when the settings define no request class.
 
 
@@ -73,6 +77,7 @@
     Attributes:
         dispatch: Queues an event for the balancer.
         requests: The requests in flight.
+        recent_ids: Ids of answered requests that may have run.
         fleet: The latest endpoint list and release status.
         counts: Event counters, keyed by the names used in the periodic status line (``event=standing``).
         max_timer_lag: Largest delay, in seconds, with which a timer fired since the last status line. A large
@@ -100,6 +105,7 @@
         self.dispatch = self.events.dispatch
         self.fleet = ControlPlaneView(registry)
         self.requests = RequestTable(max_in_flight_bytes)
+        self.recent_ids = RecentRequestIds.within(max_in_flight_bytes // RECENT_ID_SHARE)
         self.counts: dict[str, int] = {}  # Bounded by the number of kinds of outcomes and replies.
         self.max_timer_lag = 0.0
         objectives = [request_class.latency_objective for request_class in settings.request_classes]
@@ -130,6 +136,11 @@
         """
         if client_request.id in self.requests.ids:  # Clients use a new id for each request.
             raise CommandError("this id is in hand")
+        if self.has_effect(client_request) and client_request.id in self.recent_ids:
+            self.count("id again")
+            self.log_refused(client_request, "its id may have run before", 0)
+            reply.fail("this id was used before")
+            return
         if not self.requests.has_room(client_request):
             self.count("overfull")
             self.log_refused(client_request, "no memory for another request", 0)
@@ -173,6 +184,11 @@
             log_kv("unanswered", logging.ERROR, workload=request.client_request.request_class)
             self.fail_request(request)
 
+    def has_effect(self, client_request: ClientRequest) -> bool:
+        """Return whether the request's class is one whose requests must not simply run twice."""
+        request_class = self.settings.request_classes[client_request.request_class]
+        return request_class.retry_safety is not RetrySafety.IDEMPOTENT
+
     # Final answers.
 
     def send_final_reply(self, number: int, send: Callable[[ReplySink], None], disposition: str) -> None:
@@ -206,6 +222,9 @@
     def mark_answered(self, request: RequestInFlight, disposition: str) -> None:
         """Record that the final answer is decided, and log the request's disposition at debug level."""
         self.requests.mark_answered(request)
+        if request.attempts_that_may_have_run and self.has_effect(request.client_request):
+            keep_until = request.deadline + KEEP_AFTER_DEADLINE_S
+            self.recent_ids.add(request.client_request.id, request.reply.source, keep_until)
         if LOG.isEnabledFor(logging.DEBUG):
             log_kv(
                 "answered",
--- a/gatebank/proxy/requests.py
+++ b/gatebank/proxy/requests.py
@@ -20,13 +20,15 @@
         deadline: Deadline in Unix time (seconds), as the instance's `Clock` shows it.
         size: Approximate memory use in bytes.
         attempts: Attempts by number; None for an attempt that has ended or was never sent.
+        attempts_that_may_have_run: Number of sent attempts whose outcome does not prove that the endpoint did
+            not execute them.
         undelivered_results: Number of attempts whose result the balancer has not received yet.
         answered: True once the final answer is decided or the client no longer waits for an answer.
     """
 
     __slots__ = (
-        "answered", "attempts", "client_request", "deadline", "number", "reply", "size", "timer",
-        "undelivered_results",
+        "answered", "attempts", "attempts_that_may_have_run", "client_request", "deadline", "number", "reply",
+        "size", "timer", "undelivered_results",
     )  # fmt: skip
 
     def __init__(self, number: int, client_request: ClientRequest, reply: ReplySink, deadline: float) -> None:
@@ -36,6 +38,7 @@
         self.deadline = deadline
         self.size = client_request.size + REQUEST_OVERHEAD_BYTES
         self.attempts: list[Attempt | None] = []
+        self.attempts_that_may_have_run = 0
         self.undelivered_results = 0
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -259,6 +259,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.upstream.close_expired_idle()
+            self.dispatcher.recent_ids.remove_expired(self.dispatcher.clock())
             sweeps += 1
             if sweeps % SWEEPS_PER_STATUS_LINE == 0 or LOG.isEnabledFor(logging.DEBUG):
                 self.log_status_line()
--- a/gatebank/proxy/started_attempt.py
+++ b/gatebank/proxy/started_attempt.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from gatebank.events import Condition, Endpoint
+from gatebank.events import NEVER_RUN_OUTCOMES, Condition, Endpoint
 from gatebank.proxy.messages import EndpointReply
 from gatebank.proxy.requests import RequestInFlight
 
@@ -27,9 +27,10 @@
         cap: The build's share of traffic at the time of the choice.
         started: Clock time of the choice.
         deadline: Clock time at which the attempt times out.
+        is_sent: Whether the attempt's bytes were handed out to be written.
     """
 
-    __slots__ = ("cap", "deadline", "dispatcher", "endpoint", "number", "request", "started")
+    __slots__ = ("cap", "deadline", "dispatcher", "endpoint", "is_sent", "number", "request", "started")
 
     def __init__(
         self,
@@ -48,6 +49,7 @@
         self.cap = dispatcher.fleet.cap(endpoint.build)
         self.started = started
         self.deadline = deadline
+        self.is_sent = False
 
     def payload(self) -> bytes | None:
         """Return the bytes to send, or None if the attempt must not be sent any more.
@@ -69,6 +71,8 @@
             return None
         if self.request.reply.close_may_be_hidden():
             return None
+        self.is_sent = True
+        self.request.attempts_that_may_have_run += 1
         return self.request.client_request.command(self.deadline - now)
 
     def endpoint_still_fits(self) -> bool:
@@ -85,4 +89,6 @@
 
     def on_result(self, reply: EndpointReply) -> None:
         """Pass the attempt's single result to the dispatcher."""
+        if self.is_sent and reply.outcome in NEVER_RUN_OUTCOMES:
+            self.request.attempts_that_may_have_run -= 1
         self.dispatcher.on_attempt_result(self.request, self.number, self.endpoint.index, self.started, reply)
