--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -139,6 +139,9 @@
                 await self.replies_written.wait()
             self.handle_command(arguments)
             command_count += 1
+            if command_count % limits.COMMANDS_PER_TURN == 0:
+                self.arrival.on_reading_paused()
+                await asyncio.sleep(0)
             # Other clients are served first: repeated bad commands delay their sender alone.
             if self.consecutive_bad_commands:
                 self.arrival.on_reading_paused()
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -8,6 +8,8 @@
 
 # Commands in flight on one connection; the connection is read again when there are fewer.
 MAX_PIPELINED = 64
+# Commands of one connection that are handled before other connections get their turn.
+COMMANDS_PER_TURN = 8
 CHECK_INTERVAL_S = 0.1  # Interval at which the timeouts below are checked.
 
 # Some clients write slowly, in pieces. Both timeouts for commands stay below the 3 s that are allowed in all.
--- a/gatebank/proxy/resp2/commands.py
+++ b/gatebank/proxy/resp2/commands.py
@@ -16,7 +16,7 @@
 from gatebank.proxy.resp2 import codec
 
 # Fields that this proxy evaluates: request class, tenant, timeout, idempotency key, client retry, cost hint.
-KNOWN_FIELDS = frozenset(("c", "t", "d", "k", "r", "h"))
+KNOWN_FIELDS = ("c", "t", "d", "k", "r", "h")
 MAX_TIMEOUT_MS = 3_600_000  # No client waits for an answer for more than an hour.
 MAX_COMMAND_NAME_BYTES = 16  # Bytes of a command's name that are compared.
 KEY_HASH_BYTES = 6  # Size of a routing key's hash, which balancer and peers compare.
@@ -50,6 +50,62 @@
     body: bytes
 
 
+class FieldPosition(NamedTuple):
+    """Where the value of a field begins and ends."""
+
+    begin: int
+    end: int
+
+
+class RequestFields:
+    r"""The fields of a request, ``NAME=VALUE`` separated by commas.
+
+    The text is searched for the fields that this proxy evaluates, and not split: a client may send thousands
+    of others, which pass unchanged.
+
+    >>> fields = RequestFields(b"z=\xff,d=480,c=pay,r")
+    >>> fields.value("c"), fields.value("r"), fields.value("k"), fields.split_around("d")
+    ('pay', '', None, (b'z=\xff,d=', b',c=pay,r'))
+    >>> RequestFields(b"c=pay,x=1,c")
+    Traceback (most recent call last):
+    gatebank.proxy.messages.CommandError: a name stands twice
+
+    Raises:
+        CommandError: A field that this proxy evaluates stands twice.
+    """
+
+    def __init__(self, text: bytes) -> None:
+        self.text = b",%b," % text
+        self.positions: dict[str, FieldPosition] = {}
+        for name in KNOWN_FIELDS:
+            if position := self.find(name.encode()):
+                self.positions[name] = position
+
+    def find(self, name: bytes) -> FieldPosition | None:
+        """Return where a field's value stands; None without the field."""
+        found = None
+        for pattern in (b",%b=" % name, b",%b," % name):  # A field may have no value.
+            start = self.text.find(pattern)
+            if start < 0:
+                continue
+            if found or self.text.find(pattern, start + 1) >= 0:
+                raise CommandError("a name stands twice")
+            begin = start + len(pattern) - pattern.endswith(b",")
+            found = FieldPosition(begin, self.text.index(b",", begin))
+        return found
+
+    def value(self, name: str) -> str | None:
+        """Return a field's value; None without the field."""
+        if not (position := self.positions.get(name)):
+            return None
+        return self.text[position.begin : position.end].decode("utf-8", "surrogateescape")
+
+    def split_around(self, name: str) -> tuple[bytes, bytes]:
+        """Return the text before and after a field's value."""
+        position = self.positions[name]
+        return self.text[1 : position.begin], self.text[position.end : -1]
+
+
 @dataclass(slots=True)
 class Resp2Request(ClientRequest):
     """A request that is sent to endpoints as it was received, except for the value of ``d``."""
@@ -84,28 +140,21 @@
     """
     if len(arguments) < 4 or not arguments[1] or not arguments[2]:
         raise CommandError("a command needs a key, an id and names and values")
-    texts = (
-        bytes(arguments[3]).decode("utf-8", "surrogateescape").split(",")
-    )  # Unknown fields pass unchanged.
-    pairs = [text.partition("=")[::2] for text in texts]
-    values = dict(pairs)
-    if sum(name in KNOWN_FIELDS for name, _ in pairs) > len(KNOWN_FIELDS & values.keys()):
-        raise CommandError("a name stands twice")
-    request_class = find_request_class(arguments, values, classes, tenants)
-    timeout_ms = parse_positive_number(values.get("d"))
+    fields = RequestFields(bytes(arguments[3]))
+    request_class = find_request_class(arguments, fields, classes, tenants)
+    timeout_ms = parse_positive_number(fields.value("d"))
     if not timeout_ms or timeout_ms > MAX_TIMEOUT_MS:
         raise CommandError("d is no time")
-    cost_hint_us = parse_positive_number(values.get("h"))
-    timeout_index = next(index for index, (name, _) in enumerate(pairs) if name == "d")
-    parts = split_at_timeout(arguments, texts, timeout_index)
+    cost_hint_us = parse_positive_number(fields.value("h"))
+    parts = split_at_timeout(arguments, fields)
     return Resp2Request(
         id=bytes(arguments[2]),
         request_class=request_class.class_index,
-        tenant=tenants.get(values.get("t", ""), 0),
+        tenant=tenants.get(fields.value("t") or "", 0),
         timeout=timeout_ms / 1e3,
         cost_hint=cost_hint_us / 1e6 if cost_hint_us else None,
         key=int.from_bytes(blake2b(arguments[1], digest_size=KEY_HASH_BYTES).digest(), "big"),
-        is_client_retry=values.get("r") == "1",
+        is_client_retry=fields.value("r") == "1",
         parts=parts,
         size=sum(map(len, parts)),
     )
@@ -113,7 +162,7 @@
 
 def find_request_class(
     arguments: Sequence[memoryview],
-    values: Mapping[str, str],
+    fields: RequestFields,
     classes: Mapping[str, RequestClassRef],
     tenants: Mapping[str, int],
 ) -> RequestClassRef:
@@ -123,15 +172,16 @@
         CommandError: The class or the tenant is unknown, or the command's form or its idempotency key does
             not suit the class.
     """
-    request_class = classes.get(values.get("c", ""))
-    if request_class is None or "c" not in values:
+    class_name = fields.value("c")
+    request_class = None if class_name is None else classes.get(class_name)
+    if request_class is None:
         raise CommandError("no such workload")
-    if tenants and values.get("t") not in tenants:
+    if tenants and fields.value("t") not in tenants:
         raise CommandError("no such tenant")
     form = FORM_IDEMPOTENT if request_class.retry_safety is RetrySafety.IDEMPOTENT else FORM_OTHER
     if (command_name(arguments), len(arguments)) != form:
         raise CommandError("this workload takes another command, or a body where there is none")
-    if request_class.retry_safety is RetrySafety.KEYED and not values.get("k"):
+    if request_class.retry_safety is RetrySafety.KEYED and not fields.value("k"):
         raise CommandError("a ticketed invocation needs its ticket")
     return request_class
 
@@ -141,16 +191,13 @@
     return bytes(arguments[0][:MAX_COMMAND_NAME_BYTES]).upper()
 
 
-def split_at_timeout(
-    arguments: Sequence[memoryview], texts: Sequence[str], timeout_index: int
-) -> CommandParts:
-    """Copy a command in parts around the value of ``d``, the field at ``timeout_index``."""
-    before = ",".join([*texts[:timeout_index], "d="])
-    after = ",".join(["", *texts[timeout_index + 1 :]])
+def split_at_timeout(arguments: Sequence[memoryview], fields: RequestFields) -> CommandParts:
+    """Copy a command in parts around the value of ``d``."""
+    before, after = fields.split_around("d")
     return CommandParts(
         b"*%d\r\n" % len(arguments) + codec.encode_bulk_strings(arguments[:3]),
-        before.encode("utf-8", "surrogateescape"),
-        after.encode("utf-8", "surrogateescape"),
+        before,
+        after,
         codec.encode_bulk_strings(arguments[4:]),
     )
 
