--- a/gatebank/proxy/configuration.py
+++ b/gatebank/proxy/configuration.py
@@ -17,6 +17,9 @@
 MB = 1024 * 1024
 MAX_PORT = 65535
 IDLE_PROCESS_BYTES = 30 * MB  # Memory reserved for an idle process; 25 to 26 MB were measured.
+BARE_PROCESS_BYTES = 24 * MB  # Memory of an idle process without connections.
+CONNECTION_BYTES = 8192  # Memory of a connection with its first buffer and its tasks.
+MIN_ENDPOINT_CONNECTIONS = 64
 MIN_SPARE_BYTES = 2 * MB  # Lower bound on the spare memory, however small the memory limit is.
 DEFAULT_DESCRIPTORS = 1024
 MIN_DESCRIPTORS = 32  # 24 of the descriptors are reserved for purposes other than connections.
@@ -56,14 +59,16 @@
 
     Attributes:
         request_bytes: Limit for the requests in flight.
-        unread_reply_bytes: Limit for replies that clients have not read yet.
+        unread_reply_bytes: Limit for replies that wait for their turn or that clients have not read yet.
         buffer_growth_bytes: Limit for the growth of receive buffers beyond their initial size; applies to
             client connections and to endpoint connections separately.
+        endpoint_connections: Limit for the number of connections to endpoints.
     """
 
     request_bytes: int
     unread_reply_bytes: int
     buffer_growth_bytes: int
+    endpoint_connections: int
 
     @classmethod
     def within(cls, memory_mb: float) -> MemoryBounds:
@@ -71,12 +76,16 @@
 
         >>> bounds = MemoryBounds.within(192)
         >>> bounds.request_bytes, bounds.unread_reply_bytes, bounds.buffer_growth_bytes
-        (21233664, 63700992, 21233664)
+        (63700992, 21233664, 21233664)
         >>> MemoryBounds.within(32).buffer_growth_bytes
         262144
+        >>> MemoryBounds.within(32).endpoint_connections, MemoryBounds.within(192).endpoint_connections
+        (128, 2688)
         """
         spare = max(MIN_SPARE_BYTES, int(memory_mb * MB) - IDLE_PROCESS_BYTES)
-        return cls(spare // 8, 3 * spare // 8, spare // 8)
+        free = int(memory_mb * MB) - BARE_PROCESS_BYTES
+        connections = max(MIN_ENDPOINT_CONNECTIONS, free // 8 // CONNECTION_BYTES)
+        return cls(3 * spare // 8, spare // 8, spare // 8, connections)
 
 
 @dataclass(slots=True, frozen=True)
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -141,7 +141,7 @@
             self.log_refused(client_request, "its id may have run before", 0)
             reply.fail("this id was used before")
             return
-        if not self.requests.has_room(client_request):
+        if not self.requests.has_room(client_request, reply.is_pipelined()):
             self.count("overfull")
             self.log_refused(client_request, "no memory for another request", 0)
             reply.reject(None)
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -80,6 +80,14 @@
             now - self.timeout_start < limits.WRITE_STALL_TIMEOUT_S and has_unsent_bytes(self.sock)
         )
 
+    def answer_is_untaken(self, now: float) -> bool:
+        """Return whether this idle connection's client has not taken its last answer in time.
+
+        Args:
+            now: Loop time.
+        """
+        return now - self.timeout_start >= limits.UNTAKEN_GRACE_S and not self.has_unread()
+
     def close_may_be_hidden(self) -> bool:
         """Return whether the client's close may wait behind bytes that this machine has no room for.
 
@@ -133,13 +141,13 @@
         """
         command_count = 0
         for arguments in self.parse_commands():
-            while len(self.replies) >= limits.MAX_PIPELINED or self.unwritten:
+            while len(self.replies) >= self.downstream.max_pipelined() or self.unwritten:
                 self.arrival.on_reading_paused()
                 self.replies_written.clear()
                 await self.replies_written.wait()
             self.handle_command(arguments)
             command_count += 1
-            if command_count % limits.COMMANDS_PER_TURN == 0:
+            if command_count % self.downstream.commands_per_turn() == 0:
                 self.arrival.on_reading_paused()
                 await asyncio.sleep(0)
             # Other clients are served first: repeated bad commands delay their sender alone.
@@ -334,12 +342,26 @@
         self.replies.append(reply)
         return reply
 
+    def has_room_for_reply(self, size: int, is_first: bool) -> bool:
+        """Return whether a reply of ``size`` bytes may be kept until the client takes it.
+
+        Args:
+            size: Size of the reply in bytes.
+            is_first: Whether the reply may be written now. If the client has taken all earlier ones, the
+                kernel has room for it.
+        """
+        downstream = self.downstream
+        if downstream.unwritten_bytes + size <= downstream.max_unwritten_bytes:
+            return True
+        return is_first and not self.unwritten and not has_unsent_bytes(self.sock)
+
     def flush(self) -> None:
         """Write the replies that are ready, up to the first command without an answer."""
         parts: list[bytes | memoryview] = []
         comments: list[str] = []
         while self.replies and self.replies[0].parts is not None:
             reply = self.replies.popleft()
+            reply.release()
             parts += reply.parts or ()
             if self.recording and reply.request_id is not None and reply.parts:
                 request_id = reply.request_id.decode(errors="replace")
@@ -419,6 +441,7 @@
         self.release(CLIENT_SIDE)
         while self.replies:
             reply = self.replies.popleft()
+            reply.release()
             if reply.parts is None:
                 self.downstream.handler.on_client_disconnect(reply)
 
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
-# Commands in flight on one connection; the connection is read again when there are fewer.
+# Commands in flight on one connection; the connection is read again when there are fewer. With many
+# connections there are fewer for each, so that all together have no more than MAX_PIPELINED_IN_ALL.
 MAX_PIPELINED = 64
-# Commands of one connection that are handled before other connections get their turn.
+MIN_PIPELINED = 4
+MAX_PIPELINED_IN_ALL = 4096
+# Commands that are handled before other connections get their turn: of one connection, and of all together.
 COMMANDS_PER_TURN = 8
+COMMANDS_PER_TURN_IN_ALL = 64
 CHECK_INTERVAL_S = 0.1  # Interval at which the timeouts below are checked.
 
 # Some clients write slowly, in pieces. Both timeouts for commands stay below the 3 s that are allowed in all.
@@ -37,6 +41,7 @@
 MAX_BAD_COMMANDS = 8  # Number of consecutive bad commands that ends the connection.
 
 WRITE_STALL_TIMEOUT_S = 10.0  # Timeout of a client that accepts no byte of its replies.
+SMALL_REPLY_BYTES = 512  # A reply up to this size is kept even if the memory for replies is used up.
 WRITE_CHUNK_BYTES = 64 * 1024  # Size of one write of reply bytes that the kernel did not take at once.
 MAX_WRITE_PARTS = 64  # Buffers passed to one system call; more parts are joined before the call.
 
@@ -51,6 +56,9 @@
 # Connections accepted before the open ones are served again: a flood of new ones delays these by as much.
 MAX_ACCEPTS_PER_TURN = 64
 ACCEPT_RETRY_S = 0.05  # Delay after a failed accept, after which descriptors may be free again.
+# Time that a client gets to take its last answer before its connection may be closed to make room for others;
+# the system still sends what it has, unless the client sends more.
+UNTAKEN_GRACE_S = 0.5
 MAKE_ROOM_RETRY_S = 0.01  # Interval of the search for a connection that may be closed to make room.
 SHUTDOWN_CHECK_INTERVAL_S = 0.02  # Interval of the search for idle connections during shutdown.
 
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -130,6 +130,16 @@
         self.peak_count = max(self.peak_count, len(self.connections))
         return connection
 
+    def max_pipelined(self) -> int:
+        """Return the number of commands that may be in flight on one connection."""
+        share = limits.MAX_PIPELINED_IN_ALL // max(1, len(self.connections))
+        return max(limits.MIN_PIPELINED, min(limits.MAX_PIPELINED, share))
+
+    def commands_per_turn(self) -> int:
+        """Return the number of commands of one connection that are handled in one turn of the loop."""
+        share = limits.COMMANDS_PER_TURN_IN_ALL // max(1, len(self.connections))
+        return max(1, min(limits.COMMANDS_PER_TURN, share))
+
     def mark_used(self, connection: ClientConnection) -> None:
         """Mark a connection as the most recently used, as a command arrived on it."""
         self.connections[connection] = self.connections.pop(connection, None)
@@ -173,7 +183,7 @@
 
         The first candidates are connections whose reading has ended and those that had time to send a command
         and did not, as clients that only connect must not displace ordinary ones. Next come the other idle
-        connections, the least recently used first.
+        connections, the least recently used first, and at last those whose clients do not take their answers.
 
         Returns:
             False if no connection may be closed.
@@ -187,13 +197,13 @@
         ]
         used = [connection for connection in idle if connection.has_sent_command and not connection.closing]
         candidates = unused + used
-        chosen = next(
-            (
-                connection
-                for connection in candidates
-                if connection.closing or not connection.close_would_lose_data(now)
-            ),
-            None,
+        closable = (
+            connection
+            for connection in candidates
+            if connection.closing or not connection.close_would_lose_data(now)
+        )
+        chosen = next(closable, None) or next(
+            (connection for connection in used if connection.answer_is_untaken(now)), None
         )
         if chosen:
             chosen.close(CloseReason.MAKE_ROOM)
--- a/gatebank/proxy/downstream/replies.py
+++ b/gatebank/proxy/downstream/replies.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Protocol
 
+from gatebank.proxy.downstream import limits
 from gatebank.proxy.messages import ClientRequest
 from gatebank.proxy.sockets import peer_has_closed
 
@@ -26,6 +27,9 @@
     def source(self) -> int:
         """Number of the connection that the request arrived on; 0 for requests of this process."""
 
+    def is_pipelined(self) -> bool:
+        """Return whether the request's connection has others in flight."""
+
     def client_has_gone(self) -> bool:
         """Return whether the client has ended its connection, even if this has not been handled yet."""
 
@@ -74,21 +78,27 @@
         request: The request while it is in flight; maintained by the dispatcher.
         request_id: The request's id for the recording; None where the command is no request.
         parts: The encoded reply; None until the answer is given.
+        held_bytes: Size of the reply while it waits for its turn.
     """
 
-    __slots__ = ("connection", "parts", "request", "request_id")
+    __slots__ = ("connection", "held_bytes", "parts", "request", "request_id")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
         self.request: RequestInFlight | None = None
         self.request_id: bytes | None = None
         self.parts: Sequence[bytes | memoryview] | None = None
+        self.held_bytes = 0
 
     @property
     def source(self) -> int:
         """See `ReplySink`."""
         return self.connection.number
 
+    def is_pipelined(self) -> bool:
+        """See `ReplySink`."""
+        return len(self.connection.replies) > 1
+
     def client_has_gone(self) -> bool:
         """See `ReplySink`."""
         return self.connection.closed or peer_has_closed(self.connection.sock)
@@ -110,8 +120,27 @@
         self.send(self.connection.session.encode_failure(reason))
 
     def send(self, parts: Sequence[bytes | memoryview]) -> None:
-        """Write the reply if all earlier ones are written; otherwise keep a copy, as its buffer is reused."""
-        is_first = bool(self.connection.replies) and self.connection.replies[0] is self
-        self.parts = parts if is_first else [bytes(part) for part in parts]
+        """Write the reply if all earlier ones are written; otherwise keep a copy, as its buffer is reused.
+
+        If no memory is left to keep a large reply, the client gets an error in its place.
+        """
+        connection = self.connection
+        is_first = bool(connection.replies) and connection.replies[0] is self
+        size = sum(map(len, parts))
+        if size > limits.SMALL_REPLY_BYTES and not connection.has_room_for_reply(size, is_first):
+            connection.downstream.handler.count("no room for answer")
+            parts = connection.session.encode_failure("no room for the answer")
+            size = sum(map(len, parts))
         if is_first:
-            self.connection.flush()
+            self.parts = parts
+            connection.flush()
+            return
+        self.parts = [bytes(part) for part in parts]
+        if not connection.closed:
+            self.held_bytes = size
+            connection.downstream.unwritten_bytes += size
+
+    def release(self) -> None:
+        """Count the reply's bytes no longer as waiting."""
+        self.connection.downstream.unwritten_bytes -= self.held_bytes
+        self.held_bytes = 0
--- a/gatebank/proxy/recent_ids.py
+++ b/gatebank/proxy/recent_ids.py
@@ -12,7 +12,7 @@
 
 DIGEST_BYTES = 16
 ENTRY_BYTES = 384  # Memory of one entry: digest, row, and its places in two dictionaries.
-MIN_CAPACITY = 2048
+MIN_CAPACITY = 1024
 # Time after a request's deadline for which its id is remembered: its copy may be late on its way.
 KEEP_AFTER_DEADLINE_S = 10.0
 
--- a/gatebank/proxy/requests.py
+++ b/gatebank/proxy/requests.py
@@ -9,7 +9,10 @@
 from gatebank.proxy.messages import ClientRequest
 from gatebank.proxy.upstream.attempt import Attempt
 
-REQUEST_OVERHEAD_BYTES = 2048  # Approximate memory of a request in flight besides the request's own bytes.
+REQUEST_OVERHEAD_BYTES = 4096  # Approximate memory of a request in flight besides the request's own bytes.
+# Requests beyond this size, and those behind others on their connection, may use half of the memory: the
+# other half is for clients that send one small request at a time.
+LARGE_REQUEST_BYTES = 8192
 
 
 class RequestInFlight:
@@ -69,9 +72,16 @@
         """Return a view of all requests in flight."""
         return self.rows.values()
 
-    def has_room(self, client_request: ClientRequest) -> bool:
-        """Return whether the request fits within the memory limit."""
-        return self.size_bytes + client_request.size + REQUEST_OVERHEAD_BYTES <= self.max_bytes
+    def has_room(self, client_request: ClientRequest, is_pipelined: bool) -> bool:
+        """Return whether the request fits within the memory limit.
+
+        Args:
+            client_request: The request.
+            is_pipelined: Whether the request's connection has others in flight.
+        """
+        is_limited = is_pipelined or client_request.size > LARGE_REQUEST_BYTES
+        limit = self.max_bytes // 2 if is_limited else self.max_bytes
+        return self.size_bytes + client_request.size + REQUEST_OVERHEAD_BYTES <= limit
 
     def add(self, client_request: ClientRequest, reply: ReplySink, deadline: float) -> RequestInFlight:
         """Add a request to the table under a free number."""
--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -48,6 +48,7 @@
 MAX_LENGTH_LINE_BYTES = 16  # Maximum length of a line that holds a count or a length.
 MAX_BLANK_BYTES = 64  # Maximum bytes of blank lines before a command.
 INITIAL_BUFFER_BYTES = 4096  # Initial size of a buffer; most messages fit.
+CLIENT_BUFFER_BYTES = 2048  # Initial size of a client's buffer: there are hundreds of clients.
 MIN_READ_BYTES = 1024  # Minimum free space for a read.
 
 
@@ -73,6 +74,7 @@
     Args:
         memory_budget: Memory that the buffer may grow by; None allows as much as one message needs.
         max_value: Maximum size of one value in bytes.
+        initial_bytes: Size of the buffer while it is empty.
 
     Attributes:
         data: The buffer; its unparsed bytes lie from ``start`` to ``end``.
@@ -80,10 +82,16 @@
         bytes_needed: Total size of the incomplete message, as far as it is known.
     """
 
-    def __init__(self, memory_budget: MemoryBudget | None = None, max_value: int = MAX_VALUE_BYTES) -> None:
+    def __init__(
+        self,
+        memory_budget: MemoryBudget | None = None,
+        max_value: int = MAX_VALUE_BYTES,
+        initial_bytes: int = INITIAL_BUFFER_BYTES,
+    ) -> None:
         self.max_value = max_value
         self.max_size = max_value + MAX_LINE_BYTES * 4
-        self.data: bytearray | bytes = bytearray(INITIAL_BUFFER_BYTES)
+        self.initial_bytes = initial_bytes
+        self.data: bytearray | bytes = bytearray(initial_bytes)
         self.memory_budget = memory_budget or MemoryBudget(self.max_size)
         self.reserved_bytes = 0
         self.start = 0
@@ -131,8 +139,8 @@
         """
         assert isinstance(self.data, bytearray), "a buffer made by from_bytes cannot be read into"
         unparsed = self.incomplete_bytes
-        if not unparsed and len(self.data) > INITIAL_BUFFER_BYTES:
-            self.data = bytearray(INITIAL_BUFFER_BYTES)
+        if not unparsed and len(self.data) > self.initial_bytes:
+            self.data = bytearray(self.initial_bytes)
             self.release_growth()
         elif self.start:
             self.data[:unparsed] = self.data[self.start : self.end]
--- a/gatebank/proxy/resp2/session.py
+++ b/gatebank/proxy/resp2/session.py
@@ -33,7 +33,7 @@
 
     def create_buffer(self, budget: MemoryBudget) -> codec.Resp2Buffer:
         """Create the buffer of a new connection."""
-        return codec.Resp2Buffer(budget)
+        return codec.Resp2Buffer(budget, initial_bytes=codec.CLIENT_BUFFER_BYTES)
 
     def parse_command(self, arguments: Sequence[memoryview]) -> ClientRequest | None:
         """Parse a command into a request; None for a PING.
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -133,7 +133,8 @@
         )
         descriptors = configuration.descriptors - RESERVED_DESCRIPTORS
         bounds = configuration.bounds
-        self.upstream = Upstream(settings, descriptors // 2, bounds.buffer_growth_bytes)
+        endpoint_connections = min(descriptors // 2, bounds.endpoint_connections)
+        self.upstream = Upstream(settings, endpoint_connections, bounds.buffer_growth_bytes)
         self.downstream = Downstream(settings, self.dispatcher, descriptors - descriptors // 2, bounds)
         self.dispatcher.upstream = self.upstream
         self.dispatcher.release_service = self.release_service
--- a/gatebank/replay/inside.py
+++ b/gatebank/replay/inside.py
@@ -56,6 +56,10 @@
         """See `ReplySink`."""
         return 0
 
+    def is_pipelined(self) -> bool:
+        """See `ReplySink`."""
+        return False
+
     def client_has_gone(self) -> bool:
         """See `ReplySink`; the player withdraws a request by `InProcessTransport.give_up`."""
         return False
--- a/tests/support/connections.py
+++ b/tests/support/connections.py
@@ -312,6 +312,9 @@
 
     source = 1
 
+    def is_pipelined(self) -> bool:
+        return False
+
     def client_has_gone(self) -> bool:
         return False
 
