--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -40,6 +40,7 @@
         last_bytes_at: Loop time at which bytes were last handled.
         has_sent_command: Whether a whole command has arrived.
         closing: Whether reading has ended; `check_timeouts` closes the connection.
+        discards_input: Whether further input is dropped, as malformed input came before it.
         consecutive_bad_commands: Number of consecutive commands that could not be carried out.
         arrival: Measures how long a command has waited since it arrived.
     """
@@ -59,6 +60,7 @@
         self.last_bytes_at = 0.0
         self.has_sent_command = False
         self.closing = False
+        self.discards_input = False
         self.consecutive_bad_commands = 0
         self.arrival = ArrivalClock(sock)
         self.replies_written = asyncio.Event()  # Set when all replies so far are written to the kernel.
@@ -105,25 +107,7 @@
     async def read(self) -> None:
         """Read commands until the client disconnects or sends malformed input."""
         try:
-            while True:
-                space = self.receive_buffer.free_space()
-                self.arrival.before_read()
-                size = await self.reading.run(self.loop.sock_recv_into(self.sock, space))
-                if not size:
-                    self.on_disconnect()
-                    break
-                recorded_bytes = self.account_read(size)
-                if self.recording and recorded_bytes is not None:
-                    self.recording.record_request_bytes(recorded_bytes)
-                self.arrival.on_read(took_all=size < len(space))
-                command_count = await self.handle_commands()
-                self.update_partial_command_times(command_count)
-                self.is_handling_read = False
-                # More bytes may be waiting, and a read that finds bytes at once does not yield to other
-                # tasks. A client that sent exactly one command usually waits for the reply, so the next read
-                # yields.
-                if command_count != 1:
-                    await asyncio.sleep(0)
+            await self.read_commands()
         except ProtocolError as error:
             self.close_with_error(str(error))
         except (OSError, asyncio.CancelledError):  # A task that ends cancelled keeps its frame in a cycle.
@@ -132,6 +116,49 @@
             self.is_handling_read = False
             if not self.closing:
                 self.close(CloseReason.DISCONNECTED)
+        if self.discards_input and not self.closed:
+            await self.discard_input()
+
+    async def read_commands(self) -> None:
+        """Read and handle commands until the client disconnects.
+
+        Raises:
+            ProtocolError: The client sent malformed input.
+            OSError: The connection is broken.
+        """
+        while True:
+            space = self.receive_buffer.free_space()
+            self.arrival.before_read()
+            size = await self.reading.run(self.loop.sock_recv_into(self.sock, space))
+            if not size:
+                self.on_disconnect()
+                return
+            recorded_bytes = self.account_read(size)
+            if self.recording and recorded_bytes is not None:
+                self.recording.record_request_bytes(recorded_bytes)
+            self.arrival.on_read(took_all=size < len(space))
+            command_count = await self.handle_commands()
+            self.update_partial_command_times(command_count)
+            self.is_handling_read = False
+            # More bytes may be waiting, and a read that finds bytes at once does not yield to other tasks. A
+            # client that sent exactly one command usually waits for the reply, so the next read yields.
+            if command_count != 1:
+                await asyncio.sleep(0)
+
+    async def discard_input(self) -> None:
+        """Read what the client still sends behind malformed input, up to a bound, and drop it.
+
+        The kernel resets a connection that is closed with unread bytes, and the client may lose the error
+        line by that.
+        """
+        left = limits.MAX_DISCARDED_BYTES
+        with suppress(OSError, asyncio.CancelledError):
+            while left > 0:
+                size = await self.loop.sock_recv_into(self.sock, self.downstream.discard_buffer)
+                if not size:
+                    return
+                left -= size
+                await asyncio.sleep(0)
 
     async def handle_commands(self) -> int:
         """Handle the whole commands in the buffer, no faster than replies are written.
@@ -256,6 +283,8 @@
         """
         self.downstream.report_protocol_error(reason)
         self.start_closing()
+        self.discards_input = True
+        self.receive_buffer.close()
         self.add_pending_reply().fail(reason)
 
     def stop_reading(self) -> None:
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -30,6 +30,11 @@
 # Delay between the error line that ends a connection and the close, so that the client can read the line.
 LINGER_S = 0.25
 
+# Input behind malformed input that is read and dropped, so that the client is not reset before it has read
+# the error line: several times the largest command.
+MAX_DISCARDED_BYTES = 512 * 1024
+DISCARD_READ_BYTES = 16 * 1024
+
 IDLE_TIMEOUT_S = 60.0  # Timeout of a connection without a request in flight.
 # Idle timeout where more than half of the allowed connections are open.
 CROWDED_IDLE_TIMEOUT_S = 2.0
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -54,6 +54,7 @@
         self.session = ClientSession(request_classes_by_name(settings), tenants_by_name(settings))
         self.connections: dict[ClientConnection, None] = {}
         self.connection_numbers = count(1)
+        self.discard_buffer = bytearray(limits.DISCARD_READ_BYTES)  # Receives input that nobody looks at.
         self.unwritten_bytes = 0
         self.peak_count = 0
         self.shutting_down = False
@@ -63,6 +64,7 @@
         self.accept_task: asyncio.Task[None] | None = None  # The task that runs `accept`.
         self.protocol_error_count = 0
         self.protocol_error_logged_at = -limits.PROTOCOL_ERROR_LOG_INTERVAL_S
+        self.failed_accept_logged_at = -limits.PROTOCOL_ERROR_LOG_INTERVAL_S
         self.listener: socket.socket | None = None
 
     # Accepting connections.
@@ -86,13 +88,23 @@
         while self.listener:
             try:
                 sock, _ = await self.pending_accept.run(self.loop.sock_accept(self.listener))
-            except OSError as error:
-                log_kv("accept_failed", logging.WARNING, why=error)
+            except ConnectionAbortedError:  # The client has gone before it was accepted.
+                continue
+            except OSError as error:  # No descriptor or memory is free for the moment.
+                self.report_failed_accept(error)
                 await asyncio.sleep(limits.ACCEPT_RETRY_S)
                 continue
             await self.wait_for_room(self.add_connection(sock))
             self.accept_waiting()
 
+    def report_failed_accept(self, error: OSError) -> None:
+        """Count a failed accept, and log it unless another was logged just before."""
+        self.handler.count("accept failed")
+        now = self.loop.time()
+        if now >= self.failed_accept_logged_at + limits.PROTOCOL_ERROR_LOG_INTERVAL_S:
+            self.failed_accept_logged_at = now
+            log_kv("accept_failed", logging.WARNING, why=error)
+
     def accept_waiting(self) -> None:
         """Accept the connections that wait in the backlog, up to the bounds.
 
@@ -106,6 +118,8 @@
                 return
             try:
                 sock, _ = listener.accept()
+            except ConnectionAbortedError:
+                continue
             except OSError:  # None waits, or the next `sock_accept` reports the error.
                 return
             self.add_connection(sock)
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -277,6 +277,7 @@
             counts["sums"] = str([round(total, 1) for total in test.sums.fused])
         counts.update(self.downstream.status_counts())
         counts["node_buffer_bytes"] = self.upstream.buffer_bytes()
+        counts["local_shortages"] = self.upstream.local_shortages
         counts["request_bytes"] = dispatcher.requests.size_bytes
         for part in self.enabled_parts():
             counts.update(part.status_counts())
--- a/gatebank/proxy/upstream/pools.py
+++ b/gatebank/proxy/upstream/pools.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import math
+import socket
 import time
 from collections.abc import Callable
 
 from gatebank.events import Outcome
 from gatebank.proxy.buffers import MemoryBudget
+from gatebank.proxy.configuration import Address
 from gatebank.proxy.log import log_kv
 from gatebank.proxy.messages import EndpointReply
 from gatebank.proxy.resp2.session import EndpointSession
@@ -18,6 +22,11 @@
 from gatebank.proxy.upstream.pool import DELISTED, ConnectionPool
 from gatebank.settings import Settings
 
+# Errors of socket and connect that tell of this machine and not of the endpoint; they may pass at once.
+LOCAL_SHORTAGES = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN)
+)
+SHORTAGE_RETRY_S = 0.02
 DEFAULT_BUFFER_BYTES = 1 << 20  # Memory that all receive buffers together may grow by.
 DEFAULT_CONNECT_TIMEOUT_S = 1.0  # Connect timeout where the settings have none.
 # Idle time after which an endpoint closes a connection, where the settings have none.
@@ -39,6 +48,8 @@
         open_count: Number of connections that are open or being opened.
         peak_count: Highest `open_count` so far.
         opened_total: Number of connections opened since the start.
+        last_shortage_at: Monotonic time of the last such lack.
+        local_shortages: How often this machine could not open a connection, for its own lack of something.
         connect_tasks: Tasks that open connections; each ends when its connection is open or has failed.
         max_idle_age: Seconds after which an idle connection is closed.
     """
@@ -60,6 +71,8 @@
         self.open_count = 0
         self.peak_count = 0
         self.opened_total = 0
+        self.local_shortages = 0
+        self.last_shortage_at = -math.inf
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.connect_timeout = DEFAULT_CONNECT_TIMEOUT_S if connect_timeout is None else connect_timeout
         # Half of the endpoints' idle timeout, as an endpoint may close a connection earlier than its timeout.
@@ -134,22 +147,19 @@
 
     async def connect(self, pool: ConnectionPool, attempt: Attempt) -> None:
         """Open a connection for a pool; if that fails and ``attempt`` still waits, the attempt fails."""
-        address = pool.key.address
         sock = None
         try:
-            sock = open_socket(address)
             async with asyncio.timeout(self.connect_timeout):
-                await self.loop.sock_connect(sock, address)
+                sock = await self.open_connected_socket(pool.key.address)
         except BaseException as error:  # Includes cancellation: the descriptor is always released.
             pool.connecting_count -= 1
             self.open_count -= 1
-            if sock:
-                sock.close()
             if not isinstance(error, OSError | TimeoutError):
                 raise
+            is_shortage = time.monotonic() - self.last_shortage_at <= 2 * SHORTAGE_RETRY_S
             if attempt in pool.waiting_attempts:
                 pool.waiting_attempts.remove(attempt)
-                attempt.finish(EndpointReply(Outcome.NO_CONNECTION))
+                attempt.finish(EndpointReply(Outcome.NOT_SENT if is_shortage else Outcome.NO_CONNECTION))
             pool.fail_waiting_without_connection()
             self.remove_if_unused(pool)
         else:
@@ -158,6 +168,30 @@
             pool.connections.add(connection)
             pool.assign_or_park(connection)
 
+    async def open_connected_socket(self, address: Address) -> socket.socket:
+        """Return a socket that is connected; waits while this machine lacks what a socket needs.
+
+        Such a lack says nothing about the endpoint, and may be over in a moment.
+
+        Raises:
+            OSError: The endpoint refused the connection or cannot be reached.
+        """
+        while True:
+            sock = None
+            try:
+                sock = open_socket(address)
+                await self.loop.sock_connect(sock, address)
+            except BaseException as error:  # Includes cancellation: the descriptor is always released.
+                if sock:
+                    sock.close()
+                if not isinstance(error, OSError) or error.errno not in LOCAL_SHORTAGES:
+                    raise
+                self.local_shortages += 1
+                self.last_shortage_at = time.monotonic()
+            else:
+                return sock
+            await asyncio.sleep(SHORTAGE_RETRY_S)
+
     def close_longest_idle(self) -> bool:
         """Close the connection that has been idle for the longest time; return False if none is idle."""
         idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
