--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -79,5 +79,9 @@
 # From this long before SIGKILL, a connection that was never idle is not read any more: twice LINGER_S.
 STOP_READING_MARGIN_S = 0.5
 
+# From this long before SIGKILL, requests in flight are failed, so that each has its final answer and none
+# holds back the answers behind it: SIGKILL_MARGIN_S, and time to write.
+LAST_ANSWERS_MARGIN_S = 0.25
+
 # Minimum interval between log lines about malformed input: a flood of it would fill the log.
 PROTOCOL_ERROR_LOG_INTERVAL_S = 1.0
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -263,6 +263,13 @@
         elif self.time_until_sigkill() < limits.STOP_READING_MARGIN_S and not connection.is_being_read():
             connection.stop_reading()
 
+    def fail_unanswered(self) -> None:
+        """Give all requests in flight their final answer."""
+        for connection in list(self.connections):
+            for reply in list(connection.replies):
+                if reply.parts is None:
+                    self.handler.fail_reply(reply)
+
     def time_until_sigkill(self) -> float:
         """Return the seconds until SIGKILL may come; infinity before SIGTERM."""
         if self.terminated_at is None:
@@ -280,7 +287,9 @@
             await asyncio.sleep(limits.SHUTDOWN_CHECK_INTERVAL_S)
 
     def close_finished(self) -> None:
-        """During shutdown, close all connections that are idle."""
+        """During shutdown, close all connections that are idle; fail requests in flight before SIGKILL."""
+        if self.time_until_sigkill() < limits.LAST_ANSWERS_MARGIN_S:
+            self.fail_unanswered()
         for connection in list(self.connections):
             self.close_if_finished(connection)
 
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -295,3 +295,25 @@
             harness.handler.answer_all()
             await client.expect(b"$5\r\nfor 2\r\n")
         client.sock.close()
+
+
+async def test_answers_behind_a_request_without_one_are_written_before_sigkill() -> None:
+    """A request at a hanging endpoint, whose deadline is after SIGKILL, held back all answers behind it."""
+    with closing(DownstreamHarness()) as harness:
+        client, _ = await harness.connect_client()
+        downstream = harness.downstream
+        for number in (1, 2, 3):
+            client.sock.send(encode_request(number, 60_000))
+        await wait_until(lambda: len(harness.handler.pending) == 3)
+        first, *others = harness.handler.pending
+        for reply in others:
+            request = harness.handler.pending.pop(reply)
+            reply.serve(memoryview(b"for %d" % int(request.id)))
+        assert first.parts is None
+        downstream.sigkill_delay = 1.2
+        shutting_down = asyncio.ensure_future(downstream.shut_down())
+        await client.expect(b"-ERR given up\r\n$5\r\nfor 2\r\n$5\r\nfor 3\r\n")
+        assert downstream.terminated_at
+        assert downstream.loop.time() < downstream.terminated_at + 1.2
+        await shutting_down
+        client.sock.close()
