--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -21,6 +21,7 @@
 from gatebank.proxy.http import HttpClient, NoReplyError
 from gatebank.proxy.log import log_kv
 from gatebank.proxy.sockets import WatchLease
+from gatebank.proxy.start_times import StartTimes
 from gatebank.settings import Settings
 
 WATCH_PATH = "/discovery/hosts"
@@ -101,9 +102,14 @@
     ...     registry.retain({registry.index_of("stays"), registry.index_of(str(name))})
     >>> len(registry.names) <= MIN_FREE_INDICES + 3, registry.index_of("stays"), len(registry.indices)
     (True, 0, 2)
+
+    Args:
+        settings: The instance's settings.
+        start_times: Converts the listed start times; None to take them as they are listed.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, start_times: StartTimes | None = None) -> None:
+        self.start_times = start_times
         self.indices: dict[str, int] = {}  # Indices by endpoint name.
         self.names: list[str] = []  # Names and addresses are lists by index.
         self.addresses: list[Address] = []
@@ -130,6 +136,8 @@
             if index not in listed:
                 del self.indices[name]
                 self.free_indices.append(index)
+        if self.start_times:
+            self.start_times.retain(self.indices)
 
     def parse_list(self, listing: Mapping[str, Any]) -> EndpointList:
         """Parse a listing; all its entries are validated before the registry changes.
@@ -177,6 +185,9 @@
         """Assign an index to an entry, and store its address."""
         index = self.index_of(entry.name)
         self.addresses[index] = entry.address or self.addresses[index]
+        started = entry.started
+        if self.start_times:
+            started = self.start_times.convert(entry.name, started)
         return Endpoint(
             index,
             name_hash(entry.name),
@@ -184,7 +195,7 @@
             entry.zone,
             entry.cell,
             entry.build,
-            entry.started,
+            started,
             entry.condition,
             entry.weight,
         )
@@ -343,6 +354,8 @@
         """Pass a listing to the listener, and reset the failure state."""
         self.version = listing.version
         self.backoff.reset()
+        if self.registry.start_times:
+            self.registry.start_times.on_listing()
         self.lease.on_first_message()
         if self.is_failing:
             log_kv("roll_back", version=listing.version)
--- a/gatebank/proxy/service.py
+++ b/gatebank/proxy/service.py
@@ -48,6 +48,7 @@
 from gatebank.proxy.peer_transport import PeerTransport
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.sockets import ConnectionRecording
+from gatebank.proxy.start_times import StartTimes
 from gatebank.proxy.supervisor import Supervisor
 from gatebank.proxy.upstream import Upstream
 
@@ -119,7 +120,7 @@
         self.configuration = configuration
         self.environment = environment
         self.optional_parts = optional_parts
-        self.registry = EndpointRegistry(settings)
+        self.registry = EndpointRegistry(settings, StartTimes(clock))
         self.dispatcher = Dispatcher(
             settings, configuration.seed, clock, self.registry, configuration.bounds.request_bytes
         )
