--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -112,16 +112,20 @@
             return
         number = self.generator.randint(2, 4) if self.generator.random() < behaviour.pipelined else 1
         sent = []
+        commands = []
         for _ in range(number):
             request, pieces = self.draw_request(connection)
             if not await connection.send(request, pieces, lambda: self.generator.uniform(0.001, 0.02)):
                 break
             sent.append(request)
+            commands.append(pieces)
         if not sent:
             return
         if self.generator.random() < behaviour.disconnecting:
             await asyncio.sleep(self.generator.uniform(0.0, 0.1))
             connection.close()
+            if self.generator.random() < behaviour.returning:
+                await self.send_again(connection.target, sent[0], commands[0])
             return
         longest = max(request.timeout for request in sent)
         await connection.wait_until_settled(monotonic() + longest * number + ANSWER_GRACE_S)
@@ -132,6 +136,27 @@
         if connection.closed:
             self.connections.discard(connection)
 
+    async def send_again(self, target: Target, request: RequestRecord, pieces: list[bytes]) -> None:
+        """Send a request that its client gave up again, with the same id, on another connection.
+
+        It gets one final answer, and its effect happens once, whether or not the first one ran.
+        """
+        if request.answers or request.sent_at is None:
+            return
+        await asyncio.sleep(self.generator.choice((0.0, 0.0, 0.005, 0.02, 0.3)))
+        connection = await self.connect(target)
+        if connection is None:
+            return
+        request.client_closed_at = None
+        request.end = None
+        request.ended_at = None
+        request.incarnation = connection.incarnation
+        self.records.ids_sent_again += 1
+        if await connection.send(request, pieces, lambda: 0.0):
+            await connection.wait_until_settled(monotonic() + request.timeout + ANSWER_GRACE_S)
+        connection.close()
+        self.connections.discard(connection)
+
     async def retry(self, connection: ClientConnection, request: RequestRecord) -> None:
         """Repeat a request that an idle connection's end left unread, or one that was not served."""
         if self.stopping or not (self.was_unread(request) or self.should_retry(request)):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from random import Random
@@ -15,8 +16,9 @@
 from tests.soak.clients import ClientPool
 from tests.soak.fleet import CANARY_BUILD, Fleet
 from tests.soak.peer_relay import DatagramFaults
-from tests.soak.records import InstanceStall
+from tests.soak.records import Crowd, InstanceStall
 from tests.soak.schedule import Fault, FaultKind
+from tests.support.instance_process import ROOT
 
 # Range of the time after SIGTERM for which clients still open new connections (PROTOCOL).
 NEW_CONNECTIONS_AFTER_SIGTERM_S = (0.2, 0.4)
@@ -70,6 +72,7 @@
             FaultKind.RELOAD: self.reload,
             FaultKind.SIGNALS: self.send_signals,
             FaultKind.CROWD: self.connect_crowd,
+            FaultKind.FLOOD: self.flood,
         }
 
     async def play(self, faults: tuple[Fault, ...], began: float) -> None:
@@ -380,3 +383,17 @@
         """Have many clients connect to an instance and send a request at the same time."""
         target = self.fleet.targets[fault.target % self.fleet.site.instances]
         await self.clients.run_crowd(target, int(fault.detail))
+
+    async def flood(self, fault: Fault) -> None:
+        """Have flooding clients, which run in a process of their own, load an instance for some time.
+
+        The requests of other clients meet a crowd meanwhile.
+        """
+        kind, _, clients = fault.detail.partition(" ")
+        target = self.fleet.targets[fault.target % self.fleet.site.instances]
+        command = (sys.executable, "-m", "tests.support.flood_clients", target.host, kind, clients)
+        began = monotonic()
+        process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdin=asyncio.subprocess.PIPE)
+        await asyncio.sleep(fault.seconds)
+        await process.communicate(b"")
+        self.fleet.records.crowds.append(Crowd(target.instance, began, monotonic(), int(clients)))
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -61,6 +61,15 @@
         writer.close()
 
 
+def anonymous_bytes(pid: int) -> int:
+    """Return the RssAnon of a process in bytes; 0 if it has ended."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0
+    return next((int(line.split()[1]) * 1024 for line in lines if line.startswith("RssAnon")), 0)
+
+
 def process_usage(instance: int, pid: int) -> ProcessUsage:
     """Return the resources that a process uses.
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -226,6 +226,7 @@
         unsolicited_answers: Time, instance and text of each answer to which no request belongs.
         unanswered_partial_commands: Seconds and instance of each client that stopped within a command and
             did not get an error or the end of its connection in time.
+        memory_peaks: Highest RssAnon of each instance's processes, in bytes.
         faults_played: How many faults of each kind were carried out.
     """
 
@@ -243,7 +244,9 @@
     crowds: list[Crowd] = field(default_factory=list)
     unsolicited_answers: list[tuple[float, int, bytes]] = field(default_factory=list)
     unanswered_partial_commands: list[tuple[float, int]] = field(default_factory=list)
+    memory_peaks: dict[int, int] = field(default_factory=dict)
     longest_datagram: int = 0
+    ids_sent_again: int = 0
     connections_opened: int = 0
     connections_refused: int = 0
     faults_played: dict[str, int] = field(default_factory=dict)
--- a/tests/soak/rules/answers.py
+++ b/tests/soak/rules/answers.py
@@ -19,6 +19,7 @@
 REMAINING_SLACK_S = 0.15
 # A request sent later than this after SIGTERM and still unanswered at SIGKILL counts as lost (PROTOCOL).
 KILL_GRACE_S = 0.7
+FLOOD_ID_PREFIX = b"f"  # Requests of flooding clients have no records; other ids begin with a zero.
 
 
 def check_answers(records: Records) -> Iterator[Violation]:
@@ -127,6 +128,8 @@
     """Check that no attempt starts after the request's answer or its client's disconnection."""
     for attempt in records.attempts:
         request = records.requests.get(attempt.request_id)
+        if request is None and attempt.request_id.startswith(FLOOD_ID_PREFIX):
+            continue
         if request is None:
             yield Violation(
                 "attempt for an unknown request", attempt.at, f"{attempt.request_id!r} at {attempt.endpoint}"
--- a/tests/soak/rules/moments.py
+++ b/tests/soak/rules/moments.py
@@ -30,6 +30,7 @@
 KEY_WINDOW = "keyed requests open as their window ends"
 SHUTDOWN = "requests just before a process ended"
 LOWER_CAP = "attempts at a canary as its cap falls"
+ID_AGAIN = "ids that came again after their client had left"
 
 
 def count_moments(records: Records) -> dict[str, int]:
@@ -40,6 +41,7 @@
         KEY_WINDOW: count_key_windows(records),
         SHUTDOWN: count_shutdowns(records),
         LOWER_CAP: count_lower_caps(records),
+        ID_AGAIN: records.ids_sent_again,
     }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,7 @@
 DISCONNECTING_OFTEN = replace(
     QUIET, load_seconds=5.0, clients=replace(CLIENTS, disconnecting=0.5), faults=PAUSED_THEN_RESET
 )
+RETURNING = replace(QUIET, clients=replace(CLIENTS, disconnecting=0.5, returning=1.0))
 PARTIAL_COMMANDS = replace(QUIET, clients=replace(CLIENTS, partial_commands=0.02))
 
 
@@ -99,6 +100,8 @@
         ("start_slowly", "not ready", QUIET),
         ("leak_descriptors", "descriptors not given back", QUIET),
         ("leak_memory", "memory not given back", QUIET),
+        ("leak_memory", "memory", replace(QUIET, site=replace(SITE, memory_mb=32))),
+        ("forget_ids", "effect twice", RETURNING),
         ("ignore_partial_commands", "late", PARTIAL_COMMANDS),
         ("close_at_sigterm", "lost", with_fault(FaultKind.INSTANCE_RESTART, schedule=FREQUENT_REQUESTS)),
         ("fall_silent_at_sigterm", "lost", with_fault(FaultKind.INSTANCE_RESTART, schedule=RARE_REQUESTS)),
