--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -306,7 +306,7 @@
         state = self.state
         key = request.request.key
         newest = state.release.build if state.release else None
-        if key is not None and state.settings.release.sticky_keys and build == newest:
+        if key is not None and state.settings.release.sticky_keys and build == newest and state.may_bind(key):
             state.sticky_builds[key] = build
 
     # Statistics and evidence from results.
--- a/gatebank/core/state.py
+++ b/gatebank/core/state.py
@@ -23,6 +23,7 @@
 
 UNKNOWN_START_AGE_S = 1e9  # The age of an endpoint whose start is not known, in seconds.
 INCARNATION_BITS = 16
+DEFAULT_MAX_STICKY_KEYS = 65_536
 
 
 class AttemptKey(NamedTuple):
@@ -51,6 +52,7 @@
         canary_seen: this instance has seen the newest build in the canary phase.
         sticky_builds: the build that each key is bound to; emptied when the newest build is rolled back or
             replaced.
+        max_sticky_keys: the largest number of keys in ``sticky_builds``; a host lowers it to its memory.
         no_spare_until: until this time, no spare attempts are allowed beyond the cap.
         inherited_reports: reports of other incarnations with complete LLR sums, to be merged into each new
             test.
@@ -78,9 +80,15 @@
         self.baseline_errors: list[BaselineErrors] = []
         self.canary_seen = False
         self.sticky_builds: dict[int, int] = {}
+        self.max_sticky_keys = DEFAULT_MAX_STICKY_KEYS
         self.no_spare_until = now
         self.inherited_reports: list[tuple[int, InstanceReport]] = []
 
+    def may_bind(self, key: int | None) -> bool:
+        """Return whether a key is bound to a build, could be bound, or need not be."""
+        is_sticky = self.settings.release.sticky_keys and key is not None
+        return not is_sticky or key in self.sticky_builds or len(self.sticky_builds) < self.max_sticky_keys
+
     def age(self, endpoint: EndpointState) -> float:
         """Return the seconds since the endpoint's process started."""
         started = endpoint.listed.started_at
--- a/gatebank/policy/routing.py
+++ b/gatebank/policy/routing.py
@@ -31,7 +31,9 @@
     candidates = _candidates(state, request)
     all_ready = candidates is state.endpoints.ready
     groups = state.endpoints.groups if all_ready else EndpointGroups(candidates)
-    canaries = {b: cap_allows(state, request, b) for b in groups.by_build if is_canary(state, b)}
+    # A key that the canary answers must be bound to it; one that cannot be bound stays with the baseline.
+    may_bind = state.may_bind(request.request.key)
+    canaries = {b: may_bind and cap_allows(state, request, b) for b in groups.by_build if is_canary(state, b)}
     baseline = groups.select(canaries, excluded=True)
     canary = groups.select([build for build, allowed in canaries.items() if allowed])
     old = _less_loaded_of_two(state, baseline)
@@ -73,6 +75,10 @@
     if request.request.key in state.sticky_builds:
         lowest = state.sticky_builds[request.request.key]
         found = [endpoint for endpoint in found if endpoint.listed.build >= lowest]
+    elif state.release and state.release.phase is Phase.RELEASED and not state.may_bind(request.request.key):
+        # The released build may have answered a key that could not be bound: no such key goes back.
+        newest = state.release.build or 0
+        found = [endpoint for endpoint in found if endpoint.listed.build >= newest] or found
     if tried := {id(attempt.endpoint) for attempt in request.attempts}:
         found = [endpoint for endpoint in found if id(endpoint) not in tried] or found
     return found
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -59,6 +59,8 @@
 
 # The ids of answered requests may use this part of the memory for requests in flight, in addition to it.
 RECENT_ID_SHARE = 4
+STICKY_KEY_SHARE = 4  # Likewise for the keys that are bound to a build.
+STICKY_KEY_BYTES = 160  # Memory of one key.
 DEFAULT_HEALTH_TIMEOUT_S = 1.0  # Health check timeout when the settings define no request class.
 
 
@@ -106,6 +108,10 @@
         self.fleet = ControlPlaneView(registry)
         self.requests = RequestTable(max_in_flight_bytes)
         self.recent_ids = RecentRequestIds.within(max_in_flight_bytes // RECENT_ID_SHARE)
+        state = self.balancer.state
+        state.max_sticky_keys = min(
+            state.max_sticky_keys, max_in_flight_bytes // STICKY_KEY_SHARE // STICKY_KEY_BYTES
+        )
         self.counts: dict[str, int] = {}  # Bounded by the number of kinds of outcomes and replies.
         self.max_timer_lag = 0.0
         objectives = [request_class.latency_objective for request_class in settings.request_classes]
--- a/tests/test_internal_faults.py
+++ b/tests/test_internal_faults.py
@@ -27,6 +27,12 @@
         self.answers.append("failed")
 
     reject = serve = fail
+    source = 1
+
+    def is_pipelined(self) -> bool:
+        return False
+
+    client_has_gone = close_may_be_hidden = is_pipelined
 
 
 async def test_balancer_exception_is_answered_and_leaves_no_request_behind() -> None:
