--- a/gatebank/proxy/buffers.py
+++ b/gatebank/proxy/buffers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from gatebank.errors import GatebankError
@@ -12,13 +13,21 @@
 
 
 class MemoryBudget:
-    """Memory that many buffers share for their growth beyond the initial size."""
+    """Memory that many buffers share for their growth beyond the initial size.
 
-    def __init__(self, size: int) -> None:
+    Args:
+        size: The memory in bytes.
+        make_room: Called with a number of bytes that are not available; may release memory of others.
+    """
+
+    def __init__(self, size: int, make_room: Callable[[int], None] | None = None) -> None:
         self.available = size
+        self.make_room = make_room
 
     def reserve(self, size: int) -> bool:
         """Reserve ``size`` bytes, if available; the caller releases them by adding to ``available``."""
+        if size > self.available and self.make_room:
+            self.make_room(size)
         fits = size <= self.available
         self.available -= size if fits else 0
         return fits
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -349,8 +349,16 @@
         is_silent = now - self.last_bytes_at >= limits.COMMAND_IDLE_TIMEOUT_S
         is_late = is_silent or now - self.partial_command_since >= limits.COMMAND_TIMEOUT_S
         if is_late and not self.has_unread():
-            self.close_with_error("a command stopped half way")
-            self.reader.cancel()
+            self.end_partial_command("a command stopped half way")
+
+    def has_stopped_within_command(self) -> bool:
+        """Return whether an incomplete command uses memory and none of its bytes wait to be read."""
+        return bool(self.partial_command_since) and not self.closing and not self.has_unread()
+
+    def end_partial_command(self, reason: str) -> None:
+        """Close the connection with an error, as an incomplete command is not waited for any longer."""
+        self.close_with_error(reason)
+        self.reader.cancel()
 
     def check_idle(self, now: float, is_crowded: bool) -> None:
         """Close a connection that has been idle for too long, unless the close would lose data."""
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -19,6 +19,8 @@
 # Some clients write slowly, in pieces. Both timeouts for commands stay below the 3 s that are allowed in all.
 # Timeout for the first command of a connection, and for the next byte of a command that was begun.
 COMMAND_IDLE_TIMEOUT_S = 1.2
+# Silence within a command after which its memory may be given to another client.
+STALLED_COMMAND_S = 0.3
 COMMAND_TIMEOUT_S = 2.5  # Timeout for receiving a whole command, from its first byte.
 
 # Time that a request spent in the kernel's receive buffer counts against the client's timeout from this
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -50,7 +50,7 @@
         self.handler = handler
         self.max_connections = max_connections
         self.max_unwritten_bytes = bounds.unread_reply_bytes
-        self.buffer_budget = MemoryBudget(bounds.buffer_growth_bytes)
+        self.buffer_budget = MemoryBudget(bounds.buffer_growth_bytes, self.close_stalled_commands)
         self.session = ClientSession(request_classes_by_name(settings), tenants_by_name(settings))
         self.connections: dict[ClientConnection, None] = {}
         self.connection_numbers = count(1)
@@ -223,6 +223,23 @@
             chosen.close(CloseReason.MAKE_ROOM)
         return chosen is not None
 
+    def close_stalled_commands(self, size: int) -> None:
+        """End connections that stopped within a command, the longest silent first, to free ``size`` bytes.
+
+        The memory for receive buffers is used up, and a client that goes on sending needs some.
+        """
+        silent_since = self.loop.time() - limits.STALLED_COMMAND_S
+        stalled = [
+            connection
+            for connection in self.connections
+            if connection.has_stopped_within_command() and connection.last_bytes_at <= silent_since
+        ]
+        stalled.sort(key=lambda connection: connection.last_bytes_at)
+        for connection in stalled:
+            if self.buffer_budget.available >= size:
+                return
+            connection.end_partial_command("no room for a message so long")
+
     def add_unwritten(self, size: int) -> None:
         """Count unwritten reply bytes; beyond the bound, close the connection with the most of them."""
         self.unwritten_bytes += size
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.http import HttpClient, NoReplyError
 from tests.support.connections import (
@@ -135,3 +136,21 @@
     await wait_until(lambda: len(connection.receive_buffer.data) == 0)
     harness.close()
     client.sock.close()
+
+
+async def test_clients_that_stopped_within_a_command_give_their_memory_to_one_that_sends() -> None:
+    harness = DownstreamHarness()
+    downstream = harness.downstream
+    downstream.buffer_budget.available = 3 * 64 * 1024
+    stopped = [Client(harness.address) for _ in range(6)]
+    for client in stopped:
+        client.sock.send(HALF_BODY)
+    await asyncio.sleep(limits.STALLED_COMMAND_S + 0.1)
+    client = Client(harness.address)
+    body = b"x" * 60_000
+    command = b"*2\r\n$4\r\nPING\r\n$60000\r\n" + body + b"\r\n"
+    await asyncio.get_running_loop().sock_sendall(client.sock, command)
+    await client.expect(b"+PONG\r\n")
+    harness.close()
+    for other in (client, *stopped):
+        other.sock.close()
