--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -1,11 +1,10 @@
-"""A client connection: reads commands, writes replies in command order, and enforces the timeouts."""
+"""A client connection: reads commands and enforces the timeouts; `ReplyStream` writes the replies."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import socket
-from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -14,10 +13,10 @@
 from gatebank.proxy.downstream.arrival import ArrivalClock
 from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.downstream.replies import PendingReply
+from gatebank.proxy.downstream.reply_stream import ReplyStream
 from gatebank.proxy.log import LOG, log_kv
 from gatebank.proxy.messages import ClientRequest, CommandError
 from gatebank.proxy.sockets import has_unsent_bytes, peer_has_closed, unread_bytes
-from gatebank.proxy.stream import Stream
 
 if TYPE_CHECKING:
     from gatebank.proxy.downstream.listener import Downstream
@@ -25,21 +24,15 @@
 CLIENT_SIDE = 0  # The client's side in a recording: the side that opened the connection.
 
 
-class ClientConnection(Stream):
+class ClientConnection(ReplyStream):
     """A client connection; `close` releases all resources that the connection owns.
 
     Attributes:
         number: Number of the connection since the start, from 1.
-        replies: Replies that are not being written yet, in command order, including replies whose answer is
-            not known yet; `flush` and `close` remove them.
-        unwritten: Reply bytes that the kernel has not taken yet.
-        timeout_start: Loop time from which the idle and closing timeouts count: the time of the accept, of
-            the last written reply, or of the start of closing.
         partial_command_since: Loop time since which an incomplete command is in the buffer; 0.0 if there is
             none.
         last_bytes_at: Loop time at which bytes were last handled.
         has_sent_command: Whether a whole command has arrived.
-        closing: Whether reading has ended; `check_timeouts` closes the connection.
         discards_input: Whether further input is dropped, as malformed input came before it.
         consecutive_bad_commands: Number of consecutive commands that could not be carried out.
         arrival: Measures how long a command has waited since it arrived.
@@ -47,30 +40,18 @@
 
     def __init__(self, downstream: Downstream, sock: socket.socket) -> None:
         recording = downstream.record(sock) if downstream.record else None
-        self.session = downstream.session
-        buffer = self.session.create_buffer(downstream.buffer_budget)
-        super().__init__(downstream.loop, sock, buffer, recording)
+        buffer = downstream.session.create_buffer(downstream.buffer_budget)
+        super().__init__(downstream, sock, buffer, recording)
         self.parse_commands = buffer.commands
-        self.downstream = downstream
         self.number = next(downstream.connection_numbers)
-        self.replies: deque[PendingReply] = deque()
-        self.unwritten = b""
-        self.timeout_start = downstream.loop.time()
         self.partial_command_since = 0.0
         self.last_bytes_at = 0.0
         self.has_sent_command = False
-        self.closing = False
         self.discards_input = False
         self.consecutive_bad_commands = 0
         self.arrival = ArrivalClock(sock)
-        self.replies_written = asyncio.Event()  # Set when all replies so far are written to the kernel.
         self.reader = asyncio.ensure_future(self.read())
 
-    @property
-    def idle(self) -> bool:
-        """Whether no command waits for its answer and all replies are written."""
-        return not self.replies and not self.unwritten
-
     def close_would_lose_data(self, now: float) -> bool:
         """Return whether closing this idle connection would lose data.
 
@@ -371,7 +352,11 @@
         if now - self.timeout_start >= limit and not self.close_would_lose_data(now):
             self.close(CloseReason.IDLE)
 
-    # Replies.
+    def on_replies_written(self) -> None:
+        """See `ReplyStream`; during shutdown, an idle connection is closed."""
+        self.downstream.close_if_finished(self)
+
+    # End of the connection.
 
     def add_pending_reply(self) -> PendingReply:
         """Add and return the pending reply of the command that arrived last."""
@@ -379,94 +364,6 @@
         self.replies.append(reply)
         return reply
 
-    def has_room_for_reply(self, size: int, is_first: bool) -> bool:
-        """Return whether a reply of ``size`` bytes may be kept until the client takes it.
-
-        Args:
-            size: Size of the reply in bytes.
-            is_first: Whether the reply may be written now. If the client has taken all earlier ones, the
-                kernel has room for it.
-        """
-        downstream = self.downstream
-        if downstream.unwritten_bytes + size <= downstream.max_unwritten_bytes:
-            return True
-        return is_first and not self.unwritten and not has_unsent_bytes(self.sock)
-
-    def flush(self) -> None:
-        """Write the replies that are ready, up to the first command without an answer."""
-        parts: list[bytes | memoryview] = []
-        comments: list[str] = []
-        while self.replies and self.replies[0].parts is not None:
-            reply = self.replies.popleft()
-            reply.release()
-            parts += reply.parts or ()
-            if self.recording and reply.request_id is not None and reply.parts:
-                request_id = reply.request_id.decode(errors="replace")
-                comments.append(f"invocation {request_id} {self.session.classify_answer(reply.parts)}")
-        if self.closed or not parts:
-            return
-        if self.unwritten:
-            self.keep_unwritten(b"".join(parts))
-            return
-        self.write(parts, comments)
-
-    def write(self, parts: list[bytes | memoryview], comments: list[str]) -> None:
-        """Write replies; a task writes the bytes that the kernel does not take at once.
-
-        Args:
-            parts: Encoded replies.
-            comments: Comments on the replies for the recording.
-        """
-        size = sum(map(len, parts))
-        try:
-            sent = self.sock.sendmsg(parts if len(parts) < limits.MAX_WRITE_PARTS else [b"".join(parts)])
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            self.downstream.close_soon(self, CloseReason.WRITE_FAILED)
-            return
-        if self.recording and sent:
-            self.recording.record_reply_bytes(b"".join(parts)[:sent], "; ".join(comments))
-        if sent < size:
-            self.keep_unwritten(b"".join(parts)[sent:])
-            self.writer = asyncio.ensure_future(self.write_remaining())
-        else:
-            self.on_written()
-
-    def on_written(self) -> None:
-        """Handle that all replies so far are written."""
-        self.timeout_start = self.loop.time()
-        self.replies_written.set()
-        if self.closing and self.idle:
-            with suppress(OSError):
-                self.sock.shutdown(socket.SHUT_WR)
-        self.downstream.close_if_finished(self)
-
-    def keep_unwritten(self, data: bytes) -> None:
-        """Keep reply bytes that the kernel has not taken, within the bound that all connections share."""
-        self.unwritten += data
-        self.downstream.add_unwritten(len(data))
-
-    async def write_remaining(self) -> None:
-        """Write the bytes that the kernel did not take at once, as fast as the client reads."""
-        try:
-            while self.unwritten:
-                part = self.unwritten[: limits.WRITE_CHUNK_BYTES]
-                async with asyncio.timeout(limits.WRITE_STALL_TIMEOUT_S):
-                    await self.loop.sock_sendall(self.sock, part)
-                if self.recording:
-                    self.recording.record_reply_bytes(part)
-                self.unwritten = self.unwritten[len(part) :]
-                self.downstream.unwritten_bytes -= len(part)
-        except TimeoutError:
-            self.close(CloseReason.WRITE_STALLED)
-        except OSError:
-            self.close(CloseReason.WRITE_FAILED)
-        except asyncio.CancelledError:  # As in `read`.
-            return
-        else:
-            self.on_written()
-
     def close(self, reason: CloseReason) -> None:
         """Release all resources; the client of the requests in flight counts as gone."""
         if self.closed:
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -16,6 +16,7 @@
 from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
+from gatebank.proxy.downstream.reply_stream import ReplyStream
 from gatebank.proxy.log import log_kv
 from gatebank.proxy.messages import request_classes_by_name, tenants_by_name
 from gatebank.proxy.resp2.session import ClientSession
@@ -257,7 +258,7 @@
             self.protocol_error_logged_at = self.loop.time()
             log_kv("client_broken", logging.WARNING, why=reason, so_far=self.protocol_error_count)
 
-    def close_soon(self, connection: ClientConnection, reason: CloseReason) -> None:
+    def close_soon(self, connection: ReplyStream, reason: CloseReason) -> None:
         """Close a connection in the next turn of the loop, not while the caller still works on it."""
         self.loop.call_soon(connection.close, reason)
 
