--- a/gatebank/proxy/configuration.py
+++ b/gatebank/proxy/configuration.py
@@ -20,6 +20,8 @@
 BARE_PROCESS_BYTES = 24 * MB  # Memory of an idle process without connections.
 CONNECTION_BYTES = 8192  # Memory of a connection with its first buffer and its tasks.
 MIN_ENDPOINT_CONNECTIONS = 64
+MIN_LIST_BYTES = 512 * 1024  # Over a thousand endpoints, also where lists come indented.
+MAX_LIST_BYTES = 8 * MB  # Some ten thousand endpoints.
 MIN_SPARE_BYTES = 2 * MB  # Lower bound on the spare memory, however small the memory limit is.
 DEFAULT_DESCRIPTORS = 1024
 MIN_DESCRIPTORS = 32  # 24 of the descriptors are reserved for purposes other than connections.
@@ -63,12 +65,14 @@
         buffer_growth_bytes: Limit for the growth of receive buffers beyond their initial size; applies to
             client connections and to endpoint connections separately.
         endpoint_connections: Limit for the number of connections to endpoints.
+        list_bytes: Limit for a listing of discovery, whose parsed form takes several times as much.
     """
 
     request_bytes: int
     unread_reply_bytes: int
     buffer_growth_bytes: int
     endpoint_connections: int
+    list_bytes: int
 
     @classmethod
     def within(cls, memory_mb: float) -> MemoryBounds:
@@ -85,7 +89,8 @@
         spare = max(MIN_SPARE_BYTES, int(memory_mb * MB) - IDLE_PROCESS_BYTES)
         free = int(memory_mb * MB) - BARE_PROCESS_BYTES
         connections = max(MIN_ENDPOINT_CONNECTIONS, free // 8 // CONNECTION_BYTES)
-        return cls(3 * spare // 8, spare // 8, spare // 8, connections)
+        list_bytes = max(MIN_LIST_BYTES, min(MAX_LIST_BYTES, free // 16))
+        return cls(3 * spare // 8, spare // 8, spare // 8, connections, list_bytes)
 
 
 @dataclass(slots=True, frozen=True)
--- a/gatebank/proxy/control_plane.py
+++ b/gatebank/proxy/control_plane.py
@@ -99,7 +99,13 @@
 
         def watch(lease: WatchLease) -> Awaitable[None]:
             endpoint_watch = EndpointWatch(
-                address, self.registry, self.dispatcher, version=version, backoff=backoff, lease=lease
+                address,
+                self.registry,
+                self.dispatcher,
+                version=version,
+                backoff=backoff,
+                lease=lease,
+                max_list_bytes=configuration.bounds.list_bytes,
             )
             return endpoint_watch.run()
 
--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -17,7 +17,7 @@
 from gatebank.errors import GatebankError
 from gatebank.events import Condition, Endpoint
 from gatebank.peer_messages import name_hash
-from gatebank.proxy.configuration import Address, ConfigurationError, parse_address
+from gatebank.proxy.configuration import MAX_LIST_BYTES, Address, ConfigurationError, parse_address
 from gatebank.proxy.http import HttpClient, NoReplyError
 from gatebank.proxy.log import log_kv
 from gatebank.proxy.sockets import WatchLease
@@ -282,6 +282,7 @@
         listener: Receives the parsed listings.
         version: Version of the endpoint list that is known already; None requests the complete list.
         backoff: Determines the delays between failed calls.
+        max_list_bytes: Limit for a listing; a longer one counts as a failed call.
         lease: Once the lease is superseded, the watch ends with its connection.
     """
 
@@ -294,13 +295,14 @@
         version: int | None,
         backoff: PollBackoff,
         lease: WatchLease,
+        max_list_bytes: int = MAX_LIST_BYTES,
     ) -> None:
         self.registry = registry
         self.listener = listener
         self.version = version
         self.backoff = backoff
         self.lease = lease
-        self.client = HttpClient(address)
+        self.client = HttpClient(address, max_list_bytes)
         self.is_failing = False
 
     async def run(self) -> None:
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -224,6 +224,8 @@
         # Nothing is read while a command waits, so only this check sees that its client has gone.
         if waited and peer_has_closed(self.sock):
             return "its client disconnected"
+        if self.close_may_be_hidden():
+            return "its client may have closed behind bytes that are not read yet"
         if request.timeout <= 0:
             return "its deadline has passed"
         # A request whose deadline is too close to SIGKILL might be killed unanswered.
--- a/gatebank/proxy/http.py
+++ b/gatebank/proxy/http.py
@@ -13,7 +13,7 @@
 from gatebank.proxy.configuration import Address
 from gatebank.proxy.sockets import open_socket, peek_receive_state
 
-MAX_BODY_BYTES = 8 * 1024 * 1024  # Enough for a list of some ten thousand endpoints.
+MAX_BODY_BYTES = 64 * 1024  # Many times the longest reply of the release service.
 READ_BYTES = 16 * 1024
 FORM_TYPE = "application/x-www-form-urlencoded"
 
@@ -40,11 +40,17 @@
 class HttpClient:
     """Sends calls to one address; owns a socket and a buffer.
 
+    Args:
+        address: Address of the server.
+        max_body_bytes: Limit for the body of a reply, or for one part of a reply that stays open.
+
     `close` closes the socket; every failure calls it. The ``on_`` methods are callbacks for httptools.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.address = address
+        self.max_body_bytes = max_body_bytes
+        self.body_bytes = 0
         self.loop = asyncio.get_running_loop()
         self.sock: socket.socket | None = None
         self.buffer = bytearray()
@@ -64,6 +70,7 @@
         """Collect a part of the body; data after the first reply is ignored."""
         if self.messages_begun == 1:
             self.body.append(part)
+            self.body_bytes += len(part)
 
     def on_message_complete(self) -> None:
         """Handle the end of a reply."""
@@ -108,7 +115,9 @@
             raise
         if not self.keeps_alive:
             self.close()
-        return HttpReply(self.status, b"".join(self.body))
+        body = b"".join(self.body)
+        self.body = []  # A kept connection must not keep the reply.
+        return HttpReply(self.status, body)
 
     async def stream(self, target: str, idle_timeout: float) -> AsyncGenerator[bytes, None]:
         """Yield the parts of a reply that stays open, as they arrive.
@@ -131,6 +140,7 @@
                         error = failure
                     parts = self.body
                     self.body = []
+                    self.body_bytes = 0
                     limit.reschedule(self.loop.time() + idle_timeout)
                     for part in parts:
                         yield part
@@ -152,6 +162,7 @@
             self.close()
         self.parser = httptools.HttpResponseParser(self)
         self.body = []
+        self.body_bytes = 0
         self.done = False
         self.messages_begun = 0
         try:
@@ -181,7 +192,7 @@
         """Read once from the socket and feed the bytes to the parser.
 
         Raises:
-            NoReplyError: The connection ended, or the data is not HTTP or exceeds MAX_BODY_BYTES.
+            NoReplyError: The connection ended, or the data is not HTTP or exceeds ``max_body_bytes``.
         """
         assert self.sock
         assert self.parser
@@ -198,5 +209,5 @@
             self.keeps_alive = False
         if not size:
             raise NoReplyError("the connection ended", True)
-        if sum(map(len, self.body)) > MAX_BODY_BYTES:
+        if self.body_bytes > self.max_body_bytes:
             raise NoReplyError("the reply is too long", True)
--- a/tests/support/flood_clients.py
+++ b/tests/support/flood_clients.py
@@ -14,6 +14,7 @@
     unsound       send unknown commands at full speed; come again when closed
     new_names     send requests with new classes, tenants, fields and ids at full speed, and come again
     short         send requests with a timeout of 1 ms at full speed, and read the answers
+    patient       send requests with a timeout of an hour at full speed, and read the answers
     garbage       send bytes that are no command at full speed; come again when closed
     connect       connect, send nothing and close at once, again and again
     leave         send 200 payouts and close without reading; again and again
@@ -150,6 +151,11 @@
             lambda: b"".join(read_command(timeout_ms=1) for _ in range(REQUESTS_AT_ONCE))
         )
 
+    async def patient(self) -> None:
+        await self.exchange_at_full_speed(
+            lambda: b"".join(read_command(timeout_ms=3_600_000) for _ in range(REQUESTS_AT_ONCE))
+        )
+
     async def garbage(self) -> None:
         await self.exchange_at_full_speed(lambda: b"\0" * 4096)
 
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -13,7 +13,7 @@
 
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.close_reason import CloseReason
-from gatebank.proxy.http import HttpClient, NoReplyError
+from gatebank.proxy.http import READ_BYTES, HttpClient, NoReplyError
 from tests.support.connections import (
     Client,
     DownstreamHarness,
@@ -154,3 +154,22 @@
     harness.close()
     for other in (client, *stopped):
         other.sock.close()
+
+
+async def test_reply_beyond_its_bound_ends_the_call_and_is_not_kept() -> None:
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10000000\r\n\r\n")
+        with suppress(OSError):
+            for _ in range(100):
+                writer.write(b"x" * 100_000)
+                await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    client = HttpClient(server.sockets[0].getsockname(), max_body_bytes=200_000)
+    with pytest.raises(NoReplyError, match="too long"):
+        await client.call("GET", "/", 5.0)
+    assert client.body_bytes <= 200_000 + READ_BYTES
+    assert client.sock is None
+    server.close()
