--- a/gatebank/proxy/buffers.py
+++ b/gatebank/proxy/buffers.py
@@ -12,6 +12,10 @@
     """Received data violates the protocol or exceeds a size limit; the message names the violation."""
 
 
+class NoRoomError(ProtocolError):
+    """The memory budget has no room for a message; the peer did nothing wrong."""
+
+
 class MemoryBudget:
     """Memory that many buffers share for their growth beyond the initial size.
 
--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from gatebank.proxy.buffers import ProtocolError
+from gatebank.proxy.buffers import NoRoomError, ProtocolError
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.arrival import ArrivalClock
 from gatebank.proxy.downstream.close_reason import CloseReason
@@ -43,6 +43,7 @@
         buffer = downstream.session.create_buffer(downstream.buffer_budget)
         super().__init__(downstream, sock, buffer, recording)
         self.parse_commands = buffer.commands
+        self.skip_command = buffer.skip_command
         self.number = next(downstream.connection_numbers)
         self.partial_command_since = 0.0
         self.last_bytes_at = 0.0
@@ -108,7 +109,7 @@
             OSError: The connection is broken.
         """
         while True:
-            space = self.receive_buffer.free_space()
+            space = self.find_space()
             self.arrival.before_read()
             size = await self.reading.run(self.loop.sock_recv_into(self.sock, space))
             if not size:
@@ -126,6 +127,23 @@
             if command_count != 1:
                 await asyncio.sleep(0)
 
+    def find_space(self) -> memoryview:
+        """Return the memory for the next read; without memory for a long command, reject the command.
+
+        Raises:
+            ProtocolError: A command is longer than allowed, or its beginning is malformed.
+        """
+        try:
+            return self.receive_buffer.free_space()
+        except NoRoomError:
+            self.skip_command()
+        self.downstream.handler.count("no room for command")
+        self.has_sent_command = True
+        self.partial_command_since = 0.0
+        self.downstream.mark_used(self)
+        self.add_pending_reply().reject(None)
+        return self.receive_buffer.free_space()
+
     async def discard_input(self) -> None:
         """Read what the client still sends behind malformed input, up to a bound, and drop it.
 
--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -28,7 +28,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from gatebank.proxy.buffers import MemoryBudget, ProtocolError
+from gatebank.proxy.buffers import MemoryBudget, NoRoomError, ProtocolError
 
 __all__ = [
     "MAX_VALUE_BYTES",
@@ -80,6 +80,8 @@
         data: The buffer; its unparsed bytes lie from ``start`` to ``end``.
         reserved_bytes: Memory reserved from the budget.
         bytes_needed: Total size of the incomplete message, as far as it is known.
+        skipped_bytes: Bytes that are still to be dropped of the argument that is being skipped.
+        skipped_arguments: Number of arguments to be skipped after it.
     """
 
     def __init__(
@@ -97,6 +99,8 @@
         self.start = 0
         self.end = 0
         self.bytes_needed = 0
+        self.skipped_bytes = 0
+        self.skipped_arguments = 0
 
     @classmethod
     def from_bytes(cls, data: bytes, max_value: int = MAX_VALUE_BYTES) -> Resp2Buffer:
@@ -113,6 +117,8 @@
         self.start = 0
         self.end = len(data)
         self.bytes_needed = 0
+        self.skipped_bytes = 0
+        self.skipped_arguments = 0
         self.reserved_bytes = 0
         return self
 
@@ -135,7 +141,8 @@
         """Return the space for the next read; invalidates all slices returned so far.
 
         Raises:
-            ProtocolError: A message is longer than allowed, or the memory budget is used up.
+            ProtocolError: A message is longer than allowed.
+            NoRoomError: The memory budget is used up.
         """
         assert isinstance(self.data, bytearray), "a buffer made by from_bytes cannot be read into"
         unparsed = self.incomplete_bytes
@@ -151,7 +158,7 @@
                 raise ProtocolError("a message is too long")
             growth = min(unparsed, self.max_size - unparsed) + MIN_READ_BYTES - (len(self.data) - unparsed)
             if not self.memory_budget.reserve(growth):
-                raise ProtocolError("no room for a message so long")
+                raise NoRoomError("no room for a message so long")
             self.reserved_bytes += growth
             self.data = self.data + bytearray(growth)
         return memoryview(self.data)[unparsed:]
@@ -265,6 +272,53 @@
                 pass
         return values
 
+    def skip_command(self) -> None:
+        r"""Drop the incomplete command; what arrives of it is dropped too, without being stored.
+
+        >>> buffer = Resp2Buffer()
+        >>> buffer.feed(b"*3\r\n$2\r\nab\r\n$4\r\nx")
+        >>> list(buffer.commands()), buffer.skip_command()
+        ([], None)
+        >>> for byte in b"xxx\r\n$3\r\nyyy\r\n*1\r\n$4\r\nPING\r\n":
+        ...     buffer.feed(bytes([byte]))
+        ...     if commands := [[bytes(argument) for argument in command] for command in buffer.commands()]:
+        ...         print(commands)
+        [[b'PING']]
+
+        Raises:
+            NoRoomError: The beginning of the command is not known yet.
+        """
+        if not (header := self.parse_length(self.start, 0, MAX_ARRAY_LENGTH)):
+            raise NoRoomError("no room for a message so long")
+        self.skipped_arguments, self.start = header
+        self.finish_skipping()
+        rest = bytes(self.data[self.start : self.end])
+        self.data = bytearray(self.initial_bytes)
+        self.data[: len(rest)] = rest
+        self.start = 0
+        self.end = len(rest)
+        self.release_growth()
+
+    def finish_skipping(self) -> bool:
+        """Drop what has arrived of a command that is skipped; return whether its end has been reached.
+
+        Raises:
+            ProtocolError: The command is malformed.
+        """
+        while True:
+            dropped = min(self.skipped_bytes, self.incomplete_bytes)
+            self.start += dropped
+            self.skipped_bytes -= dropped
+            if self.skipped_bytes or not self.skipped_arguments:
+                return not self.skipped_bytes
+            if not self.incomplete_bytes or not (header := self.parse_length(self.start, 0, self.max_value)):
+                return False
+            if self.data[self.start] != 0x24:  # $
+                raise ProtocolError("no bulk string where one belongs")
+            size, self.start = header
+            self.skipped_bytes = size + 2
+            self.skipped_arguments -= 1
+
     def commands(self) -> Iterator[list[memoryview]]:
         """Yield the complete commands, which are arrays of bulk strings; skip empty lines and empty arrays.
 
@@ -272,6 +326,8 @@
             ProtocolError: The bytes are no command, or a limit is exceeded.
         """
         blank_count = 0
+        if not self.finish_skipping():
+            return
         while self.start < self.end:
             if self.data[self.start] in b"\r\n":
                 self.start += 1
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -15,6 +15,7 @@
 from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.http import READ_BYTES, HttpClient, NoReplyError
 from tests.support.connections import (
+    PING,
     Client,
     DownstreamHarness,
     UpstreamHarness,
@@ -173,3 +174,17 @@
     assert client.body_bytes <= 200_000 + READ_BYTES
     assert client.sock is None
     server.close()
+
+
+async def test_command_without_memory_is_rejected_and_those_behind_it_are_served() -> None:
+    harness = DownstreamHarness()
+    harness.downstream.buffer_budget.available = 1024
+    client = Client(harness.address)
+    body = b"$40000\r\n" + b"x" * 40_000 + b"\r\n"
+    data = PING + b"*2\r\n$4\r\nQ.DO\r\n" + body + PING + b"*3\r\n" + body + body + b"$1\r\nx\r\n" + PING
+    sending = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(client.sock, data))
+    await client.expect(b"+PONG\r\n-BUSY\r\n+PONG\r\n-BUSY\r\n+PONG\r\n")
+    await sending
+    assert harness.downstream.buffer_budget.available == 1024
+    harness.close()
+    client.sock.close()
