--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -44,6 +44,7 @@
         super().__init__(downstream, sock, buffer, recording)
         self.parse_commands = buffer.commands
         self.skip_command = buffer.skip_command
+        self.partial_values = buffer.partial_command_values
         self.number = next(downstream.connection_numbers)
         self.partial_command_since = 0.0
         self.last_bytes_at = 0.0
@@ -78,8 +79,9 @@
         The kernel learns of a close only after the bytes before it. While the connection is not read, a
         client may have left that many bytes and closed.
         """
+        is_behind = self.is_handling_read or self.arrival.may_hold_bytes
         return (
-            self.is_handling_read
+            is_behind
             and self.arrival.seconds_since_empty() > limits.MAX_UNREAD_S
             and unread_bytes(self.sock) > limits.MAX_UNREAD_BYTES
         )
@@ -136,14 +138,19 @@
         try:
             return self.receive_buffer.free_space()
         except NoRoomError:
+            request_id = self.partial_request_id()
             self.skip_command()
         self.downstream.handler.count("no room for command")
         self.has_sent_command = True
         self.partial_command_since = 0.0
         self.downstream.mark_used(self)
-        self.add_pending_reply().reject(None)
+        self.downstream.handler.refuse(request_id, self.add_pending_reply())
         return self.receive_buffer.free_space()
 
+    def partial_request_id(self) -> bytes | None:
+        """Return the id of the request that has arrived in part; None if the id has not arrived."""
+        return self.session.request_id(self.partial_values())
+
     async def discard_input(self) -> None:
         """Read what the client still sends behind malformed input, up to a bound, and drop it.
 
@@ -209,7 +216,7 @@
         except CommandError as error:
             reply.fail(error.reason)
             self.consecutive_bad_commands += 1
-            if self.consecutive_bad_commands >= limits.MAX_BAD_COMMANDS:
+            if self.consecutive_bad_commands >= self.downstream.max_bad_commands():
                 raise ProtocolError("too many commands without sense") from error
 
     def execute_command(self, arguments: list[memoryview], reply: PendingReply) -> None:
@@ -227,7 +234,7 @@
         request.timeout -= waited
         if reason := self.reason_not_to_start(request, waited):
             self.log_not_started(request, reason, waited)
-            reply.reject(None)  # The request was not sent to any endpoint, so the client may send it again.
+            self.downstream.handler.refuse(request.id, reply)
         else:
             self.downstream.handler.start_request(request, reply)
 
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -46,6 +46,7 @@
 # Each further consecutive command that cannot be carried out adds this pause before the next command is read.
 BAD_COMMAND_PAUSE_S = 0.1
 MAX_BAD_COMMANDS = 8  # Number of consecutive bad commands that ends the connection.
+MAX_BAD_COMMANDS_WHEN_FULL = 2  # The same while all places are taken, so that others wait less for one.
 
 WRITE_STALL_TIMEOUT_S = 10.0  # Timeout of a client that accepts no byte of its replies.
 SMALL_REPLY_BYTES = 512  # A reply up to this size is kept even if the memory for replies is used up.
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -150,6 +150,12 @@
         share = limits.MAX_PIPELINED_IN_ALL // max(1, len(self.connections))
         return max(limits.MIN_PIPELINED, min(limits.MAX_PIPELINED, share))
 
+    def max_bad_commands(self) -> int:
+        """Return the number of consecutive bad commands that ends a connection."""
+        if len(self.connections) < self.max_connections:
+            return limits.MAX_BAD_COMMANDS
+        return limits.MAX_BAD_COMMANDS_WHEN_FULL
+
     def commands_per_turn(self) -> int:
         """Return the number of commands of one connection that are handled in one turn of the loop."""
         share = limits.COMMANDS_PER_TURN_IN_ALL // max(1, len(self.connections))
--- a/gatebank/proxy/downstream/replies.py
+++ b/gatebank/proxy/downstream/replies.py
@@ -60,6 +60,14 @@
             CommandError: The request cannot be carried out, and ``reply`` gets no answer from the handler.
         """
 
+    def refuse(self, request_id: bytes | None, reply: ReplySink) -> None:
+        """Answer a request that is not started: rejected, or failed if one with its id may have run.
+
+        Args:
+            request_id: Id of the request; None if it is not known.
+            reply: Receives the answer.
+        """
+
     def on_client_disconnect(self, reply: ReplySink) -> None:
         """Handle that the client has disconnected and does not read the answer."""
 
--- a/gatebank/proxy/resp2/session.py
+++ b/gatebank/proxy/resp2/session.py
@@ -14,6 +14,7 @@
     parse_health_reply,
 )
 
+ID_INDEX = 2  # Place of a request's id among the arguments of its command.
 Parts = Sequence[bytes | memoryview]  # An encoded reply in pieces that are written one after the other.
 
 
@@ -48,6 +49,10 @@
             return parse_request(arguments, self.classes, self.tenants)
         raise CommandError("unknown command")
 
+    def request_id(self, arguments: Sequence[bytes]) -> bytes | None:
+        """Return the id in the first arguments of a command; None if they do not reach so far."""
+        return arguments[ID_INDEX] if len(arguments) > ID_INDEX else None
+
     def encode_value(self, value: memoryview) -> Parts:
         """Encode the answer with an endpoint's value, which is not copied."""
         return codec.encode_bulk_string(value)
--- a/tests/support/connections.py
+++ b/tests/support/connections.py
@@ -61,6 +61,9 @@
         self.pending[reply] = request
         self.started_ids.append(int(request.id))
 
+    def refuse(self, request_id: bytes | None, reply: PendingReply) -> None:
+        reply.reject(None)
+
     def on_client_disconnect(self, reply: PendingReply) -> None:
         if request := self.pending.pop(reply, None):
             self.disconnected_ids.append(int(request.id))
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -150,3 +150,19 @@
             await asyncio.sleep(0.6)
         late = [at - closed[request_id] for at, request_id in attempts.begun if request_id in closed]
         assert max(late, default=0.0) <= MAX_ATTEMPT_AFTER_CLOSE_S, f"{len(late)}: {sorted(late)[-5:]}"
+
+
+async def test_id_that_may_have_run_is_not_rejected_when_it_comes_again_too_late() -> None:
+    """A rejection promises that nothing has happened; the deadline of the second one has passed unread."""
+    async with FloodedInstance(64) as instance:
+        attempts = ObservedAttempts(instance)
+        address = instance.process.address
+        command = encode_pay(new_id(), timeout_ms=300)
+        await send_and_leave(address, command, 0.05)
+        reader, writer = await asyncio.open_connection(address, PORT)
+        unknown = encode_command(b"NOPE")
+        writer.write(unknown * 3 + command)  # The pauses behind unknown commands last 0.6 s.
+        results = [(await read_reply(reader))[0] for _ in range(4)]
+        writer.close()
+        assert set(attempts.executions.values()) == {1}, attempts.executions
+        assert results == ["broken off"] * 4, results
