--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,112 +1,134 @@
-"""A key that the new build answered before the platform's late news of that build goes to the earlier build.
+"""Requests are answered more than half a second after their time while bad clients send empty commands.
 
-The platform offers build 43. Its news comes NEWS_LATE_S later than usual, after discovery has listed the new
-nodes; without the disruption the news comes first, as usual. Clients ask for the same keys again and again,
-and each waits for its answer.
+The marshal has CORES of a core, as its configuration says: it is stopped for the rest of each PERIOD_S, as
+the system's limit on processor time does. Bad clients send ``*0`` without end. Without the disruption there
+are no bad clients; the limit is the same.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
-from rig import CannotRunError, Client, Discovery, Marshal, Node, Platform, Record, has_trouble, main
+from rig import (
+    CannotRunError,
+    Client,
+    Discovery,
+    Marshal,
+    Node,
+    Platform,
+    Record,
+    Stalls,
+    has_trouble,
+    main,
+    start_bad_clients,
+)
 
-OLD = 42
-NEW = 43
-KEYS = 40
-CLIENTS = 8
-NEWS_USUAL_S = 0.6  # From the offer to the news; the operators' page names 0.28 to 0.79 s.
-NEWS_LATE_S = 6.5  # The page names news that is 4 to 7.9 s later than usual.
-LISTED_S = 2.5  # From the offer to the first listing of the new nodes, which have to start first.
-LEAST_KEYS = 10  # Keys that the new build has to answer; with fewer, the rule was not tried.
-LOAD_S = 16.0
-TOLD_GRACE_S = 0.5  # From the news to the first attempt that counts: more than any grace of the pages.
-ANSWERED_GRACE_S = 0.3  # From the new build's answer to the first attempt of its key that counts.
+BUILD = 42
+NODES = 10
+CLIENTS = 40
+CORES = 0.25  # The first deployment gives an instance 250 ms of processor time a second.
+PERIOD_S = 0.1
+BAD_CLIENTS = 300  # Of 1,024 descriptors that the marshal may hold.
+BAD_FROM_S = 2.0
+BAD_FOR_S = 15.0
+LOAD_S = 20.0
+EARNS_NOTHING_S = 0.5  # An answer up to this long after the request's time only earns nothing.
+SOCKET_SLACK_S = 0.05  # On sockets, every time limit is so much longer.
+GIVE_UP_S = 5.0  # A client waits so much longer than its time, to see when the answer comes.
+LEAST_REQUESTS = 100
+TIMES_MS = (200, 400, 900, 2400)
 
 
-async def ask_for_keys(record: Record, marshal: Marshal, number: int, until: float) -> None:
-    """Ask for keys at random, one request after the other, as one client."""
-    client = Client(record, marshal.address)
+async def limit_processor(marshal: Marshal) -> None:
+    """Let the marshal run for its share of each period, until cancelled."""
+    assert marshal.process
+    pid = marshal.process
+    try:
+        while pid.returncode is None:
+            await asyncio.sleep(PERIOD_S * CORES)
+            pid.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(PERIOD_S * (1 - CORES))
+            pid.send_signal(signal.SIGCONT)
+    finally:
+        with suppress(ProcessLookupError):
+            pid.send_signal(signal.SIGCONT)
+
+
+async def ask(marshal: Marshal, number: int, until: float, found: list[str], stalls: Stalls) -> int:
+    """Send requests as one client; note each that got no answer in time. Returns the number of requests."""
+    record = marshal.record
     random = Random(number)
+    client = Client(record, marshal.address)
     count = 0
     while record.now() < until:
         count += 1
-        key = f"key-{random.randrange(KEYS)}".encode()
-        request_id = f"{number:02x}{count:06x}".encode()
-        await client.ask([b"Q.ASK", key, request_id, b"c=read,d=2400"], 3.0)
-        await asyncio.sleep(random.uniform(0.05, 0.15))
-    client.close()
-
-
-def find_breaks(nodes: list[Node], told_at: float) -> list[str]:
-    """Return each attempt at the earlier build of a key that the new build had answered before."""
-    first_answer: dict[str, float] = {}
-    attempts = sorted((attempt for node in nodes for attempt in node.attempts), key=lambda found: found.at)
-    for attempt in attempts:
-        if attempt.build == NEW and attempt.answered_at is not None and not attempt.may_have_been_given_up:
-            answered_at = first_answer.get(attempt.key, attempt.answered_at)
-            first_answer[attempt.key] = min(answered_at, attempt.answered_at)
-    breaks = []
-    for attempt in attempts:
-        since = first_answer.get(attempt.key)
-        told = attempt.at > told_at + TOLD_GRACE_S
-        if attempt.build == OLD and told and since is not None and attempt.at > since + ANSWERED_GRACE_S:
-            breaks.append(
-                f"{attempt.id} key {attempt.key} at {attempt.node.name} build {OLD} at {attempt.at:.3f},"
-                f" build {NEW} answered it at {since:.3f} and was told on trial at {told_at:.3f}"
+        time_ms = random.choice(TIMES_MS)
+        request_id = f"{number:02x}{count:06x}"
+        sent_at = record.now()
+        command = [b"Q.ASK", b"key-%d" % count, request_id.encode(), b"c=read,d=%d" % time_ms]
+        answer = await client.ask(command, time_ms / 1000 + GIVE_UP_S)
+        late = record.now() - sent_at - time_ms / 1000
+        late -= stalls.between(sent_at, record.now())
+        if not answer.startswith("closed") and late > EARNS_NOTHING_S + SOCKET_SLACK_S:
+            found.append(
+                f"{request_id} sent at {sent_at:.3f}, d={time_ms}: {answer!r} {late:.3f} s after its time"
             )
-    return breaks
-
-
-async def tell(platform: Platform, delay: float, cap: float) -> None:
-    """Tell that the new build is on trial."""
-    await asyncio.sleep(delay)
-    platform.publish(NEW, 0, "IN_PROGRESS", cap)
+        await asyncio.sleep(random.uniform(0.05, 0.2))
+    client.close()
+    return count
 
 
 async def play(record: Record, folder: Path) -> list[str]:
     """Play the case."""
-    old = [Node(f"old-{number}", OLD, record) for number in range(4)]
-    new = [Node(f"new-{number}", NEW, record) for number in range(2)]
+    nodes = [Node(f"node-{number}", BUILD, record) for number in range(NODES)]
     discovery = Discovery(record)
-    platform = Platform(record, OLD)
-    for part in (*old, *new, discovery, platform):
+    platform = Platform(record, BUILD)
+    for part in (*nodes, discovery, platform):
         await part.start()
-    discovery.tell(*old)
+    discovery.tell(*nodes)
     marshal = Marshal(record, folder)
-    domain = marshal.config["settings"]["domain"]
-    domain["keys-stay"] = True
+    marshal.config["limits"]["cores"] = CORES
     marshal.config |= {
         "discovery": discovery.address,
         "platform": {"address": platform.address, "news": platform.fields()},
         "known": discovery.listing(None),
     }
+    found: list[str] = []
+    stalls = Stalls(record)
+    bad: list[asyncio.subprocess.Process] = []
+    tasks = [asyncio.create_task(stalls.watch())]
     try:
         await marshal.start()
+        tasks.append(asyncio.create_task(limit_processor(marshal)))
         until = record.now() + LOAD_S
         clients = [
-            asyncio.create_task(ask_for_keys(record, marshal, number, until)) for number in range(CLIENTS)
+            asyncio.create_task(ask(marshal, number, until, found, stalls)) for number in range(CLIENTS)
         ]
-        await asyncio.sleep(2.0)
-        record.add(f"platform offers build {NEW}")
-        told = asyncio.create_task(
-            tell(platform, NEWS_USUAL_S + NEWS_LATE_S * has_trouble(), domain["caps"][0])
-        )
-        await asyncio.sleep(LISTED_S)
-        for node in new:
-            node.started_ms = int(time.time() * 1000)
-        discovery.tell(*new)
-        await told
-        await asyncio.gather(*clients)
+        await asyncio.sleep(BAD_FROM_S)
+        if has_trouble():
+            record.add(f"{BAD_CLIENTS} bad clients begin")
+            bad = await start_bad_clients(marshal, BAD_CLIENTS, BAD_FOR_S, "empty")
+        requests = sum(await asyncio.gather(*clients))
+        for process in bad:
+            output, _ = await process.communicate()
+            record.add(f"bad clients: {output.decode().strip()}")
     finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for process in bad:
+            if process.returncode is None:
+                process.kill()
         await marshal.stop()
-    answered = {attempt.key for node in new for attempt in node.attempts if attempt.answered_at}
-    if platform.told_at is None or len(answered) < LEAST_KEYS:
-        raise CannotRunError(f"the new build answered {len(answered)} keys")
-    return find_breaks(old + new, platform.told_at)
+    record.add(f"{requests} requests, {time.process_time():.1f} s of processor time in this process")
+    if requests < LEAST_REQUESTS:
+        raise CannotRunError(f"only {requests} requests")
+    return found
 
 
 if __name__ == "__main__":
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -31,6 +31,8 @@
 STOP_TIMEOUT_S = 8.0
 KEEP_ALIVE_S = 1.0  # PROTOCOL: a sign of life comes every second.
 LONGEST_CASE_S = 110.0
+BAD_PROCESSES = 3  # Processes among which bad clients are shared out.
+STALL_STEP_S = 0.01
 
 Command = list[bytes]
 
@@ -594,6 +596,42 @@
         return path.read_text(errors="replace") if path.exists() else ""
 
 
+class Stalls:
+    """The times at which this process itself was held up; they are not held against the marshal."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.held_up: list[tuple[float, float]] = []
+
+    async def watch(self) -> None:
+        """Record stalls until cancelled."""
+        while True:
+            before = self.record.now()
+            await asyncio.sleep(STALL_STEP_S)
+            over = self.record.now() - before - STALL_STEP_S
+            if over > STALL_STEP_S:
+                self.held_up.append((before, over))
+
+    def between(self, begin: float, end: float) -> float:
+        """Return the seconds of stalls that began in a time."""
+        return sum(over for at, over in self.held_up if begin - 1 <= at <= end)
+
+
+async def start_bad_clients(
+    marshal: Marshal, count: int, seconds: float, kind: str
+) -> list[asyncio.subprocess.Process]:
+    """Start processes of bad clients, which end by themselves."""
+    host, port = marshal.address
+    words = [str(port), str(count // BAD_PROCESSES), str(seconds), kind]
+    program = str(ROOT / "review" / "standins-2" / "bad_clients.py")
+    return [
+        await asyncio.create_subprocess_exec(
+            sys.executable, program, host, *words, stdout=asyncio.subprocess.PIPE
+        )
+        for _ in range(BAD_PROCESSES)
+    ]
+
+
 Play = Callable[[Record, Path], Awaitable[list[str]]]
 
 
@@ -611,12 +649,13 @@
             async with asyncio.timeout(LONGEST_CASE_S):
                 return await play(record, Path(temporary))
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # Ends as SIGINT does, with all processes.
     try:
         breaks = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, KeyboardInterrupt) as error:
         record.add(f"could not run: {type(error).__name__} {error}")
         record.write()
-        print(f"could not run: {error}")
+        print(f"could not run: {type(error).__name__} {error}")
         sys.exit(NOT_RUN)
     for line in breaks:
         record.add(f"BROKEN {line}")
