--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -652,15 +652,20 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # Ends as SIGINT does, with all processes.
     try:
         breaks = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError, KeyboardInterrupt) as error:
+    except (Exception, KeyboardInterrupt) as error:  # No error of a case counts as a broken rule.
         record.add(f"could not run: {type(error).__name__} {error}")
-        record.write()
+        with suppress(OSError):
+            record.write()
         print(f"could not run: {type(error).__name__} {error}")
         sys.exit(NOT_RUN)
     for line in breaks:
         record.add(f"BROKEN {line}")
     verdict = f"broken {len(breaks)} times" if breaks else "held"
     record.add(f"rule {verdict}, trouble {int(has_trouble())}")
-    record.write()
+    try:
+        record.write()
+    except OSError as error:
+        print(f"could not run: {type(error).__name__} {error}")
+        sys.exit(NOT_RUN)
     print(verdict, *breaks[:3], sep="\n  ")
     sys.exit(BROKEN if breaks else HELD)
