--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -320,7 +320,9 @@
             self.skipped_arguments -= 1
 
     def commands(self) -> Iterator[list[memoryview]]:
-        """Yield the complete commands, which are arrays of bulk strings; skip empty lines and empty arrays.
+        """Yield the complete commands, which are arrays of bulk strings; skip empty lines.
+
+        An empty array is yielded too: the caller bounds the work for a client by the commands it gets.
 
         Raises:
             ProtocolError: The bytes are no command, or a limit is exceeded.
@@ -340,9 +342,8 @@
             if not (parsed := self.parse_array(0)):
                 return
             values, self.start = parsed
-            if values:
-                blank_count = 0
-                yield values  # type: ignore[misc]  # There are no nulls, as the minimum length is 0.
+            blank_count = 0
+            yield values  # type: ignore[misc]  # There are no nulls, as the minimum length is 0.
 
     def replies(self) -> Iterator[Reply]:
         """Yield the complete replies.
--- a/gatebank/proxy/resp2/session.py
+++ b/gatebank/proxy/resp2/session.py
@@ -42,6 +42,8 @@
         Raises:
             CommandError: The command is unknown or does not have the form that PROTOCOL defines.
         """
+        if not arguments:
+            raise CommandError("a command needs a name")
         name = command_name(arguments)
         if name == b"PING":
             return None
--- a/tests/support/flood_clients.py
+++ b/tests/support/flood_clients.py
@@ -16,6 +16,12 @@
     short         send requests with a timeout of 1 ms at full speed, and read the answers
     patient       send requests with a timeout of an hour at full speed, and read the answers
     garbage       send bytes that are no command at full speed; come again when closed
+    empty         send empty commands (`*0`) at full speed, and read the answers; come again when closed
+    blank         send blank lines at full speed; come again when closed
+    blank_pieces  send a blank line in each of many writes; come again when closed
+    huge_length   send a command with an argument of 60 MB at full speed; come again when closed
+    negative      send a command of a negative length at full speed; come again when closed
+    endless_line  send a line without an end at full speed; come again when closed
     connect       connect, send nothing and close at once, again and again
     leave         send 200 payouts and close without reading; again and again
 """
@@ -41,6 +47,8 @@
 PIECE_PAUSE_S = 0.01
 REQUESTS_AT_ONCE = 60
 PAYOUTS_AT_ONCE = 200
+BATCH_BYTES = 65_536  # Bytes of a batch that is sent again and again.
+HUGE_LENGTH = 60_000_000
 RETRY_S = 0.05  # Pause after a connection that was refused, and between two connections of a client.
 NUMBERS = count(1)
 
@@ -159,6 +167,30 @@
     async def garbage(self) -> None:
         await self.exchange_at_full_speed(lambda: b"\0" * 4096)
 
+    async def repeat_at_full_speed(self, data: bytes) -> None:
+        """Send the same bytes again and again."""
+        batch = data * (BATCH_BYTES // len(data))
+        await self.exchange_at_full_speed(lambda: batch)
+
+    async def empty(self) -> None:
+        await self.repeat_at_full_speed(b"*0\r\n")
+
+    async def blank(self) -> None:
+        await self.repeat_at_full_speed(b"\r\n")
+
+    async def blank_pieces(self) -> None:
+        await self.exchange_at_full_speed(lambda: b"\r\n")
+
+    async def huge_length(self) -> None:
+        await self.send(b"*5\r\n$4\r\nQ.DO\r\n$%d\r\n" % HUGE_LENGTH)
+        await self.repeat_at_full_speed(b"x")
+
+    async def negative(self) -> None:
+        await self.repeat_at_full_speed(b"*-7\r\n")
+
+    async def endless_line(self) -> None:
+        await self.repeat_at_full_speed(b"*1")
+
     async def leave(self) -> None:
         await self.send(b"".join(pay_command(b"b") for _ in range(PAYOUTS_AT_ONCE)))
 
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -14,6 +14,11 @@
 LEAST_MEMORY_MB = 32  # The least that the operators' pages name.
 USUAL_MEMORY_MB = 192
 DESCRIPTORS = 1024
+SHARE_OF_CORE = 0.25  # The first deployment gives an instance 250 ms of processor time in a second.
+SHORT_TIMEOUTS_MS = (200, 400, 900, 2000)
+# An answer up to half a second after the request's deadline earns nothing, a later one is lost (STANDING); on
+# sockets, every time limit is 50 ms longer (PROTOCOL).
+MAX_LATENESS_S = 0.55
 ANSWER_SLACK_S = 0.1  # The settings' slack of an answer, and PROTOCOL's 50 ms of every time limit.
 
 
@@ -63,3 +68,35 @@
 @pytest.mark.parametrize("kind", ["unread", "out_of_order"])
 async def test_crowd_that_takes_all_places_delays_no_other_client(kind: str) -> None:
     await check_flood(kind, 500, LEAST_MEMORY_MB, CROWD_S)
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "empty",
+        "blank",
+        "blank_pieces",
+        "huge_length",
+        "negative",
+        "endless_line",
+        "garbage",
+        "unsound",
+        "ping",
+        "half_head",
+    ],
+)
+async def test_crowd_at_full_speed_leaves_others_their_turns_at_a_quarter_of_a_core(kind: str) -> None:
+    """Others are answered in time, whatever a crowd sends.
+
+    Guards against input that costs work and is no command, as empty commands were (review/7): the bounds of a
+    turn count commands.
+    """
+    async with FloodedInstance(USUAL_MEMORY_MB, DESCRIPTORS, SHARE_OF_CORE) as instance:
+        observation = await instance.play(kind, 300, SINGLE_CLIENT_S, SHORT_TIMEOUTS_MS)
+        assert instance.process.process.returncode is None, "".join(observation.log[-8:])
+        reached = {arguments[2].decode() for _, arguments in instance.scenario.world.received}
+    text = str(observation)
+    ordinary = observation.ordinary
+    assert "none" not in ordinary.answers, text
+    assert not reached & set(ordinary.ended_ids), f"closed after they were read: {text}"
+    assert ordinary.max_lateness <= MAX_LATENESS_S, text
