--- a/gatebank/proxy/release_messages.py
+++ b/gatebank/proxy/release_messages.py
@@ -152,12 +152,16 @@
     [('DISPUTE', 'host=a&type=b')]
     >>> [tuple(event) for byte in b"".join(parts) for event in parser.feed(bytes([byte]))]  # cut anywhere
     [('DISPUTE', 'host=a&type=b')]
+    >>> parser.feed(MAX_EVENT_BYTES * b"data\n")
+    Traceback (most recent call last):
+    gatebank.proxy.release_messages.ReleaseStatusError: an event of the release stream is too long
     """
 
     def __init__(self) -> None:
         self.partial_line = b""
         self.name = ""
         self.data: list[str] = []
+        self.data_bytes = 0  # Size of the event's lines so far; an empty line counts too.
 
     def feed(self, part: bytes) -> list[StreamEvent]:
         """Parse further bytes, and return the events that they complete.
@@ -166,8 +170,6 @@
             ReleaseStatusError: An event exceeds MAX_EVENT_BYTES.
         """
         *lines, self.partial_line = (self.partial_line + part).split(b"\n")
-        if len(self.partial_line) + sum(map(len, self.data)) > MAX_EVENT_BYTES:
-            raise ReleaseStatusError("an event of the release stream is too long")
         events = []
         for line in lines:
             field, _, value = line.decode("utf-8", "replace").rstrip("\r").partition(":")
@@ -176,8 +178,21 @@
                 self.name = value
             elif field == "data":
                 self.data.append(value)
+                self.data_bytes += len(line) + 1
+                self.check_size()
             elif self.data and line.strip() == b"":  # An empty line ends an event.
                 events.append(StreamEvent(self.name, "\n".join(self.data)))
                 self.name = ""
                 self.data = []
+                self.data_bytes = 0
+        self.check_size()
         return events
+
+    def check_size(self) -> None:
+        """Check the size of the incomplete event.
+
+        Raises:
+            ReleaseStatusError: The event exceeds MAX_EVENT_BYTES.
+        """
+        if len(self.partial_line) + self.data_bytes > MAX_EVENT_BYTES:
+            raise ReleaseStatusError("an event of the release stream is too long")
--- /dev/null
+++ b/tests/test_reader_turns.py
@@ -0,0 +1,163 @@
+"""Readers of others' bytes: however fast the bytes come, a turn of the loop has a bounded share of work.
+
+The bytes come from a process of its own, so that each read finds some.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, closing, suppress
+from dataclasses import dataclass
+
+import pytest
+
+from gatebank.events import ReleaseStatus
+from gatebank.fakes.wire import encode_command
+from gatebank.proxy.discovery import EndpointRegistry
+from gatebank.proxy.http import HttpClient, NoReplyError
+from gatebank.proxy.release_service import ReleaseService
+from gatebank.proxy.resp2.codec import CLIENT_BUFFER_BYTES
+from gatebank.proxy.sockets import WatchLease
+from gatebank.settings import Settings
+from tests.support.connections import DownstreamHarness, UpstreamHarness, wait_until
+
+pytestmark = pytest.mark.uvloop
+
+FLOOD_BYTES = 16 << 20
+MAX_TURN_S = 0.05  # Processor time: 0.2 s at a quarter of a core, of the 0.5 s that an answer may be late.
+SEND_BYTES = 1 << 20
+# A PING that fills the receive buffer of a client, so that each read has exactly one command.
+WHOLE_READ = encode_command(b"PING", b"x" * (CLIENT_BUFFER_BYTES - 27))
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Encode a chunk of HTTP's chunked encoding."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+@dataclass
+class Turns:
+    """The processor time of this thread between two turns of a task that always wants one.
+
+    Attributes:
+        longest: The highest so far, in seconds.
+    """
+
+    longest: float = 0.0
+
+
+@asynccontextmanager
+async def measure_turns() -> AsyncIterator[Turns]:
+    """Measure the turns that a task gets beside the others."""
+    turns = Turns()
+
+    async def run() -> None:
+        last = time.thread_time()
+        while True:
+            await asyncio.sleep(0)
+            now = time.thread_time()
+            turns.longest = max(turns.longest, now - last)
+            last = now
+
+    task = asyncio.ensure_future(run())
+    yield turns
+    task.cancel()
+
+
+# Sends the bytes of the second argument again and again, a number of times, on the socket at its input. It is
+# a process of its own, as the reader has to find bytes at each read.
+SENDER = """
+import socket, sys
+batch = bytes.fromhex(sys.argv[1]) * int(sys.argv[2])
+with socket.socket(fileno=0) as sock:
+    sock.setblocking(True)
+    for _ in range(int(sys.argv[3])):
+        sock.sendall(batch)
+"""
+
+
+def flood(sock: socket.socket, data: bytes, size: int = FLOOD_BYTES) -> subprocess.Popen[bytes]:
+    """Have a process send ``size`` bytes or a little more, the same again and again, as fast as the peer reads, then close."""
+    repeats = SEND_BYTES // len(data)
+    words = (data.hex(), str(repeats), str(-(-size // SEND_BYTES)))
+    sender = subprocess.Popen([sys.executable, "-c", SENDER, *words], stdin=sock, stderr=subprocess.DEVNULL)
+    sock.close()
+    return sender
+
+
+async def test_commands_that_fill_one_read_each() -> None:
+    with closing(DownstreamHarness()) as harness:
+        client, connection = await harness.connect_client()
+        async with measure_turns() as turns:
+            sender = flood(client.sock, WHOLE_READ)
+            await wait_until(lambda: connection.closed)
+        sender.wait()
+    assert turns.longest <= MAX_TURN_S
+
+
+async def read_flood(
+    head: bytes, data: bytes, read: Callable[[tuple[str, int]], Awaitable[None]], size: int = FLOOD_BYTES
+) -> Turns:
+    """Have a client read a flood of one server; return the turns that another task got meanwhile."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+
+        async def serve() -> None:
+            sock, _ = await loop.sock_accept(listener)
+            sock.send(head)
+            sender = flood(sock, data, size)
+            await loop.run_in_executor(None, sender.wait)
+
+        server = asyncio.ensure_future(serve())
+        async with measure_turns() as turns:
+            reader = asyncio.ensure_future(read(listener.getsockname()))
+            await server
+        reader.cancel()
+        await asyncio.gather(reader, return_exceptions=True)
+        return turns
+
+
+ROLLOUT = b"event: ROLLOUT\ndata: image=42&ring=1&progress=IN_PROGRESS&ceiling=0.28&lag_ms=310\n\n"
+
+
+@pytest.mark.parametrize("data", [b":\n\n", b"data:\n", ROLLOUT])
+async def test_release_stream_that_never_pauses(data: bytes) -> None:
+    """Guards against empty lines `data:`, which were kept without a bound and summed again at each part."""
+    statuses: list[ReleaseStatus] = []
+
+    async def watch(address: tuple[str, int]) -> None:
+        registry = EndpointRegistry(Settings())
+        service = ReleaseService(address, registry, 1.0, time.monotonic, statuses.append, request_classes={})
+        await service.watch(address, WatchLease())
+
+    turns = await read_flood(STREAM_HEAD, chunk(data), watch, 4 << 20)
+    assert turns.longest <= MAX_TURN_S
+
+
+async def test_reply_whose_headers_never_end() -> None:
+    async def read(address: tuple[str, int]) -> None:
+        with suppress(NoReplyError):
+            await HttpClient(address).call("GET", "/", 5.0)
+
+    turns = await read_flood(b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n", read)
+    assert turns.longest <= MAX_TURN_S
+
+
+async def test_value_of_an_endpoint_that_never_ends() -> None:
+    harness = UpstreamHarness()
+    with closing(harness):
+        harness.send_attempt("a")
+        sock = await harness.endpoint.accept()
+        async with measure_turns() as turns:
+            sock.send(b"*3\r\n$%d\r\n" % harness.upstream.max_value)
+            sender = flood(sock, b"x", harness.upstream.max_value * 2)
+            await wait_until(lambda: harness.results)
+        sender.wait()
+    assert turns.longest <= MAX_TURN_S
