--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -17,7 +17,7 @@
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
 from gatebank.proxy.downstream.reply_stream import ReplyStream
-from gatebank.proxy.log import log_kv
+from gatebank.proxy.log import LogInterval, log_kv
 from gatebank.proxy.messages import request_classes_by_name, tenants_by_name
 from gatebank.proxy.resp2.session import ClientSession
 from gatebank.proxy.sockets import PendingOperation, StartRecording, open_socket
@@ -64,8 +64,8 @@
         self.pending_accept = PendingOperation()
         self.accept_task: asyncio.Task[None] | None = None  # The task that runs `accept`.
         self.protocol_error_count = 0
-        self.protocol_error_logged_at = -limits.PROTOCOL_ERROR_LOG_INTERVAL_S
-        self.failed_accept_logged_at = -limits.PROTOCOL_ERROR_LOG_INTERVAL_S
+        self.protocol_error_log = LogInterval(limits.PROTOCOL_ERROR_LOG_INTERVAL_S)
+        self.failed_accept_log = LogInterval(limits.PROTOCOL_ERROR_LOG_INTERVAL_S)
         self.listener: socket.socket | None = None
 
     # Accepting connections.
@@ -101,9 +101,7 @@
     def report_failed_accept(self, error: OSError) -> None:
         """Count a failed accept, and log it unless another was logged just before."""
         self.handler.count("accept failed")
-        now = self.loop.time()
-        if now >= self.failed_accept_logged_at + limits.PROTOCOL_ERROR_LOG_INTERVAL_S:
-            self.failed_accept_logged_at = now
+        if self.failed_accept_log.is_due():
             log_kv("accept_failed", logging.WARNING, why=error)
 
     def accept_waiting(self) -> None:
@@ -260,8 +258,7 @@
     def report_protocol_error(self, reason: str) -> None:
         """Count a connection that sent malformed input, and log it unless another was logged just before."""
         self.protocol_error_count += 1
-        if self.loop.time() >= self.protocol_error_logged_at + limits.PROTOCOL_ERROR_LOG_INTERVAL_S:
-            self.protocol_error_logged_at = self.loop.time()
+        if self.protocol_error_log.is_due():
             log_kv("client_broken", logging.WARNING, why=reason, so_far=self.protocol_error_count)
 
     def close_soon(self, connection: ReplyStream, reason: CloseReason) -> None:
--- a/gatebank/proxy/log.py
+++ b/gatebank/proxy/log.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+import math
 import os
 import select
 import sys
+import time
 from collections.abc import Mapping
 
 LOG = logging.getLogger("gatebank")
@@ -26,6 +28,30 @@
     LOG.exception("fault", extra={"keys": keys})
 
 
+class LogInterval:
+    """Lets one line in an interval be logged: others decide how often the event happens.
+
+    >>> interval = LogInterval(60.0)
+    >>> interval.is_due(), interval.is_due()
+    (True, False)
+
+    Args:
+        seconds: Least time between two lines.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.logged_at = -math.inf  # Monotonic time.
+
+    def is_due(self) -> bool:
+        """Return whether the interval since the last logged line is over, and start the next one if so."""
+        now = time.monotonic()
+        is_due = now >= self.logged_at + self.seconds
+        if is_due:
+            self.logged_at = now
+        return is_due
+
+
 def format_value(value: object) -> str:
     r"""Format a value for a log line; quoted if it would not read as a single word.
 
--- a/gatebank/proxy/release_service.py
+++ b/gatebank/proxy/release_service.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Container
+from collections.abc import AsyncGenerator, Callable, Container
 from contextlib import aclosing
 from dataclasses import replace
 from typing import NamedTuple
@@ -19,7 +19,7 @@
 from gatebank.proxy.configuration import Address
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.http import HttpClient, NoReplyError
-from gatebank.proxy.log import log_kv
+from gatebank.proxy.log import LogInterval, log_kv
 from gatebank.proxy.release_messages import (
     EventParser,
     ReleaseStatusError,
@@ -38,6 +38,8 @@
 # meantime are not repeated; each further delay is twice as long, up to MAX_RECONNECT_S.
 MIN_RECONNECT_S = 0.02
 MAX_RECONNECT_S = 0.5
+EVENTS_PER_TURN = 8  # Events of the stream that are handled before other tasks get their turn.
+LOG_INTERVAL_S = 1.0  # Least time between two lines about events of one kind: a flood would fill the log.
 MAX_VOTES = 8  # Limit on outstanding votes; the release service accepts 32 connections from an instance.
 OPINION_BY_VERDICT = {
     Verdict.NONE: "none",
@@ -83,6 +85,9 @@
         self.on_status = on_status
         self.request_classes = request_classes
         self.latest: LatestStatus | None = None
+        self.overtaken_log = LogInterval(LOG_INTERVAL_S)
+        self.unread_log = LogInterval(LOG_INTERVAL_S)
+        self.unknown_log = LogInterval(LOG_INTERVAL_S)
         self.votes: set[asyncio.Task[None]] = set()  # Outstanding votes; a task is removed after its reply.
 
     def accept_status(self, status: ReleaseStatus) -> None:
@@ -96,7 +101,8 @@
             began = self.clock() - status.age
             latest = self.latest or LatestStatus(status, began)
             if progress(status) < progress(latest.status):
-                log_kv("desk_overtaken", build=status.build, stage=status.stage)
+                if self.overtaken_log.is_due():
+                    log_kv("desk_overtaken", build=status.build, stage=status.stage)
                 age = self.clock() - latest.began
                 status = replace(latest.status, is_vote_reply=status.is_vote_reply, age=age)
             else:
@@ -148,17 +154,15 @@
         is_failing = False
         delay = MIN_RECONNECT_S
         while True:
-            parser = EventParser()
             try:
-                async with aclosing(HttpClient(address).stream(STREAM_PATH, STREAM_SILENCE_S)) as stream:
-                    async for part in stream:
-                        for event in parser.feed(part):
-                            if is_failing:
-                                log_kv("desk_back")
-                            is_failing = False
-                            delay = MIN_RECONNECT_S
-                            self.take_event(event)
-                            lease.on_first_message()
+                async with aclosing(self.stream_events(address)) as events:
+                    async for event in events:
+                        if is_failing:
+                            log_kv("desk_back")
+                        is_failing = False
+                        delay = MIN_RECONNECT_S
+                        self.take_event(event)
+                        lease.on_first_message()
             except (NoReplyError, ReleaseStatusError, ValueError) as error:
                 if lease.is_superseded:
                     return
@@ -168,6 +172,23 @@
             await asyncio.sleep(delay)
             delay = min(2 * delay, MAX_RECONNECT_S)
 
+    async def stream_events(self, address: Address) -> AsyncGenerator[StreamEvent, None]:
+        """Yield the events of one connection, so that other tasks get their turns however fast events come.
+
+        Raises:
+            NoReplyError: The stream ended or fell silent.
+            ReleaseStatusError: An event is too long.
+        """
+        parser = EventParser()
+        event_count = 0
+        async with aclosing(HttpClient(address).stream(STREAM_PATH, STREAM_SILENCE_S)) as stream:
+            async for part in stream:
+                for event in parser.feed(part):
+                    yield event
+                    event_count += 1
+                    if event_count % EVENTS_PER_TURN == 0:
+                        await asyncio.sleep(0)
+
     def take_event(self, event: StreamEvent) -> None:
         """Handle an event of the stream.
 
@@ -182,11 +203,12 @@
             # A dispute is not used as evidence: few answers are disputed, and some of those by mistake.
             float(fields.get("lag_ms", 0))
             is_listed = fields.get("host", "") in self.registry.indices
-            if not is_listed or fields.get("type", "") not in self.request_classes:
+            is_known = is_listed and fields.get("type", "") in self.request_classes
+            if not is_known and self.unread_log.is_due():
                 log_kv(
                     "desk_unread", logging.WARNING, why="a dispute names an unknown endpoint or request class"
                 )
-        else:
+        elif self.unknown_log.is_due():
             log_kv("desk_unknown", logging.WARNING, name=event.name)
 
     def close(self) -> None:
