--- a/gatebank/proxy/http.py
+++ b/gatebank/proxy/http.py
@@ -50,12 +50,11 @@
     def __init__(self, address: Address, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.address = address
         self.max_body_bytes = max_body_bytes
-        self.body_bytes = 0
         self.loop = asyncio.get_running_loop()
         self.sock: socket.socket | None = None
         self.buffer = bytearray()
         self.parser: httptools.HttpResponseParser | None = None
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.done = False
         self.keeps_alive = True
         self.messages_begun = 0
@@ -69,8 +68,7 @@
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body; data after the first reply is ignored."""
         if self.messages_begun == 1:
-            self.body.append(part)
-            self.body_bytes += len(part)
+            self.body += part
 
     def on_message_complete(self) -> None:
         """Handle the end of a reply."""
@@ -115,19 +113,19 @@
             raise
         if not self.keeps_alive:
             self.close()
-        body = b"".join(self.body)
-        self.body = []  # A kept connection must not keep the reply.
+        body = bytes(self.body)
+        self.body = bytearray()  # A kept connection must not keep the reply.
         return HttpReply(self.status, body)
 
     async def stream(self, target: str, idle_timeout: float) -> AsyncGenerator[bytes, None]:
-        """Yield the parts of a reply that stays open, as they arrive.
+        """Yield the body of a reply that stays open, in parts as they arrive.
 
         Args:
             target: Path and query.
-            idle_timeout: Seconds without data after which the stream counts as dead.
+            idle_timeout: Seconds without a part after which the stream counts as dead.
 
         Raises:
-            NoReplyError: The stream ended, or no data arrived for ``idle_timeout`` seconds.
+            NoReplyError: The stream ended, or no part arrived for ``idle_timeout`` seconds.
         """
         try:
             async with asyncio.timeout(idle_timeout) as limit:
@@ -138,11 +136,10 @@
                         await self.read()
                     except NoReplyError as failure:  # Data received before the error is passed on first.
                         error = failure
-                    parts = self.body
-                    self.body = []
-                    self.body_bytes = 0
-                    limit.reschedule(self.loop.time() + idle_timeout)
-                    for part in parts:
+                    if self.body:
+                        part = bytes(self.body)
+                        self.body = bytearray()
+                        limit.reschedule(self.loop.time() + idle_timeout)
                         yield part
             raise error or NoReplyError("the stream ended", True)
         except TimeoutError:
@@ -161,8 +158,7 @@
         if self.sock and peek_receive_state(self.sock):
             self.close()
         self.parser = httptools.HttpResponseParser(self)
-        self.body = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.done = False
         self.messages_begun = 0
         try:
@@ -209,5 +205,5 @@
             self.keeps_alive = False
         if not size:
             raise NoReplyError("the connection ended", True)
-        if self.body_bytes > self.max_body_bytes:
+        if len(self.body) > self.max_body_bytes:
             raise NoReplyError("the reply is too long", True)
