--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import time
 from collections import deque
 from collections.abc import Container, Mapping
 from random import Random
@@ -31,6 +32,8 @@
 # Time that a reply may take beyond WATCH_WAIT_S before the connection is considered dead.
 REPLY_GRACE_S = 1.0
 MIN_RETRY_DELAY_S = 0.1  # Delay before a retry; below the 0.2 s within which a watch has to continue.
+MAX_REPLY_DELAY_S = 0.1  # Longest delay before the call after a reply, within the same 0.2 s.
+EARLY_REPLY_S = WATCH_WAIT_S / 2  # A reply without news that comes sooner was not held open.
 # Target rate of calls per second from all instances together, when each call puts load on discovery. When 40
 # instances retried after 0.1 s (240 calls per second), discovery answered 15 and refused 25 until the end of
 # the run. With an initial delay of 2 s it answered all of them within 5 s, and with 0.5 s within 13 s
@@ -260,6 +263,28 @@
         self.delay = MIN_RETRY_DELAY_S
 
 
+def delay_after_reply(has_news: bool, waited: float, handling_time: float) -> float:
+    """Return the seconds before the next call after a successful one.
+
+    Usually discovery holds a call until there is news. One that answers at once, again and again, must not
+    take the instance's time from its requests: without news the next call waits a little, and otherwise as
+    long as the list took to handle.
+
+    >>> delay_after_reply(False, 0.01, 0.0), delay_after_reply(False, WATCH_WAIT_S, 0.0)
+    (0.1, 0.0)
+    >>> delay_after_reply(True, 0.01, 0.02), delay_after_reply(True, 0.01, 3.0)
+    (0.02, 0.1)
+
+    Args:
+        has_news: Whether the reply had endpoints and a new version.
+        waited: Seconds between the call and its reply.
+        handling_time: Seconds that it took to apply the reply.
+    """
+    if not has_news and waited < EARLY_REPLY_S:
+        return MAX_REPLY_DELAY_S
+    return min(MAX_REPLY_DELAY_S, handling_time)
+
+
 class EndpointListener(Protocol):
     """Receives endpoint lists; implemented by the dispatcher."""
 
@@ -310,6 +335,7 @@
         try:
             await asyncio.sleep(self.backoff.first_delay())
             while True:
+                asked_at = time.monotonic()
                 try:
                     listing = await self.poll()
                 except (NoReplyError, DiscoveryRefusedError, EndpointListError, ValueError) as error:
@@ -320,7 +346,11 @@
                     self.client.close()
                     await asyncio.sleep(self.backoff.delay_after_failure(refused))
                 else:
+                    answered_at = time.monotonic()
+                    has_news = bool(listing.endpoints) and listing.version != self.version
                     self.apply(listing)
+                    handling_time = time.monotonic() - answered_at
+                    await asyncio.sleep(delay_after_reply(has_news, answered_at - asked_at, handling_time))
         finally:
             self.client.close()
 
--- a/tests/test_reader_turns.py
+++ b/tests/test_reader_turns.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import subprocess
 import sys
@@ -14,12 +15,13 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, closing, suppress
 from dataclasses import dataclass
+from random import Random
 
 import pytest
 
-from gatebank.events import ReleaseStatus
-from gatebank.fakes.wire import encode_command
-from gatebank.proxy.discovery import EndpointRegistry
+from gatebank.events import Endpoint, ReleaseStatus
+from gatebank.fakes.wire import encode_command, http_response
+from gatebank.proxy.discovery import EndpointRegistry, EndpointWatch, PollBackoff
 from gatebank.proxy.http import HttpClient, NoReplyError
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.resp2.codec import CLIENT_BUFFER_BYTES
@@ -204,3 +206,51 @@
 
     await read_flood(b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n", read, 256 << 20)
     assert reasons == ["the stream was silent, without even a keep-alive"]
+
+
+LISTS_S = 1.0  # Time for which a discovery answers at once.
+HANDLING_S = 0.02  # Time that a list takes to handle.
+
+
+@pytest.mark.parametrize(("body", "most_calls"), [("same", 13), ("empty", 13), ("new", 33)])
+async def test_discovery_that_answers_at_once(body: str, most_calls: int) -> None:
+    """Guards against calls without a pause, which a discovery that holds no call open could demand.
+
+    Calls without news come every 0.1 s; those with news wait for as long as the list took to handle.
+    """
+    calls = 0
+    entry = {"instanceId": "a", "hostPort": "127.0.0.1:1", "lifecycle": "SERVING", "version_no": 1}
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal calls
+        with suppress(asyncio.IncompleteReadError, ConnectionError), closing(writer):
+            while await reader.readuntil(b"\r\n\r\n"):
+                calls += 1
+                generation = calls if body == "new" else 1
+                entries = [] if body == "empty" else [entry]
+                listing = {"generation": generation, "reset": body != "empty", "instances": entries}
+                writer.write(http_response("200 OK", "application/json", json.dumps(listing).encode()))
+
+    class Listener:
+        def on_endpoint_list(self, endpoints: list[Endpoint], is_complete: bool) -> None:
+            time.sleep(HANDLING_S)
+
+        def on_watch_failed(self) -> None: ...
+        def count(self, name: str) -> None: ...
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    settings = Settings()
+    watch = EndpointWatch(
+        server.sockets[0].getsockname(),
+        EndpointRegistry(settings),
+        Listener(),
+        version=None,
+        backoff=PollBackoff(settings, Random(1)),
+        lease=WatchLease(),
+    )
+    task = asyncio.ensure_future(watch.run())
+    await asyncio.sleep(LISTS_S)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    server.close()
+    assert 2 <= calls <= most_calls
