--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -66,7 +66,14 @@
 
 
 class Resp2Buffer:
-    """The receive buffer of one connection.
+    r"""The receive buffer of one connection.
+
+    >>> buffer = Resp2Buffer()
+    >>> for _ in range(MAX_BLANK_BYTES // 2 + 1):  # Blank lines are bounded over all reads.
+    ...     buffer.feed(b"\r\n")
+    ...     commands = list(buffer.commands())
+    Traceback (most recent call last):
+    gatebank.proxy.buffers.ProtocolError: nothing but blank lines
 
     The buffer grows up to the largest size of a message, within a memory budget that many buffers share,
     and shrinks again when it is empty; `close` returns the memory reserved from the budget.
@@ -82,6 +89,7 @@
         bytes_needed: Total size of the incomplete message, as far as it is known.
         skipped_bytes: Bytes that are still to be dropped of the argument that is being skipped.
         skipped_arguments: Number of arguments to be skipped after it.
+        blank_bytes: Bytes of blank lines since the last command.
     """
 
     def __init__(
@@ -101,6 +109,7 @@
         self.bytes_needed = 0
         self.skipped_bytes = 0
         self.skipped_arguments = 0
+        self.blank_bytes = 0
 
     @classmethod
     def from_bytes(cls, data: bytes, max_value: int = MAX_VALUE_BYTES) -> Resp2Buffer:
@@ -119,6 +128,7 @@
         self.bytes_needed = 0
         self.skipped_bytes = 0
         self.skipped_arguments = 0
+        self.blank_bytes = 0
         self.reserved_bytes = 0
         return self
 
@@ -327,14 +337,13 @@
         Raises:
             ProtocolError: The bytes are no command, or a limit is exceeded.
         """
-        blank_count = 0
         if not self.finish_skipping():
             return
         while self.start < self.end:
             if self.data[self.start] in b"\r\n":
                 self.start += 1
-                blank_count += 1
-                if blank_count > MAX_BLANK_BYTES:
+                self.blank_bytes += 1
+                if self.blank_bytes > MAX_BLANK_BYTES:
                     raise ProtocolError("nothing but blank lines")
                 continue
             if self.data[self.start] != 0x2A:  # *
@@ -342,7 +351,7 @@
             if not (parsed := self.parse_array(0)):
                 return
             values, self.start = parsed
-            blank_count = 0
+            self.blank_bytes = 0
             yield values  # type: ignore[misc]  # There are no nulls, as the minimum length is 0.
 
     def replies(self) -> Iterator[Reply]:
