--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -152,7 +152,7 @@
         if not result.request_done:
             self._advance(request)
             return
-        if attempt:
+        if attempt and result.outcome is Outcome.SUCCESS:
             self._bind_key(request, attempt.build)
         self._close(request)
 
@@ -213,8 +213,7 @@
         state.release = status
         is_tested = status.phase in (Phase.CANARY, Phase.RELEASED)
         same_build = previous is not None and previous.build == status.build
-        if not is_tested or not same_build:
-            state.sticky_builds = {}
+        state.sticky_keys.retain(lambda build: exposure.binds_keys(state, build))
         if previous and same_build and (previous.stage, previous.phase) == (status.stage, status.phase):
             return
         if not same_build:
@@ -302,12 +301,17 @@
             self.actions += [CancelAttempt(number, attempt) for attempt in request.outstanding_attempts()]
 
     def _bind_key(self, request: RequestState, build: int) -> None:
-        """Bind a key to the newest build after that build has answered, if the settings make keys sticky."""
+        """Bind a key to the build that has answered it, if the settings make keys sticky.
+
+        A canary answers a key only if there was room for it when its attempt was chosen, so the attempts in
+        flight are all that exceeds the bound on keys.
+        """
         state = self.state
         key = request.request.key
-        newest = state.release.build if state.release else None
-        if key is not None and state.settings.release.sticky_keys and build == newest and state.may_bind(key):
-            state.sticky_builds[key] = build
+        if key is None or not state.settings.release.sticky_keys or not exposure.binds_keys(state, build):
+            return
+        if state.may_bind(key) or exposure.is_canary(state, build):
+            state.sticky_keys.bind(key, build)
 
     # Statistics and evidence from results.
 
--- a/gatebank/core/state.py
+++ b/gatebank/core/state.py
@@ -11,6 +11,7 @@
 from gatebank.core.fleet_view import FleetView
 from gatebank.core.latency import Latencies
 from gatebank.core.request_state import AttemptRecord, RequestState
+from gatebank.core.sticky_keys import StickyKeys
 from gatebank.core.traffic import Traffic
 from gatebank.core.voting import VotingState
 from gatebank.events import BaselineErrors, ReleaseStatus
@@ -23,7 +24,6 @@
 
 UNKNOWN_START_AGE_S = 1e9  # The age of an endpoint whose start is not known, in seconds.
 INCARNATION_BITS = 16
-DEFAULT_MAX_STICKY_KEYS = 65_536
 
 
 class AttemptKey(NamedTuple):
@@ -50,9 +50,7 @@
         test: the sequential test of the newest build at its stage; None while the build is not tested.
         baseline_errors: outcome counts of baseline builds, by statistic of the test.
         canary_seen: this instance has seen the newest build in the canary phase.
-        sticky_builds: the build that each key is bound to; emptied when the newest build is rolled back or
-            replaced.
-        max_sticky_keys: the largest number of keys in ``sticky_builds``; a host lowers it to its memory.
+        sticky_keys: the builds that keys are bound to.
         no_spare_until: until this time, no spare attempts are allowed beyond the cap.
         inherited_reports: reports of other incarnations with complete LLR sums, to be merged into each new
             test.
@@ -79,15 +77,13 @@
         self.test: SequentialTest | None = None
         self.baseline_errors: list[BaselineErrors] = []
         self.canary_seen = False
-        self.sticky_builds: dict[int, int] = {}
-        self.max_sticky_keys = DEFAULT_MAX_STICKY_KEYS
+        self.sticky_keys = StickyKeys()
         self.no_spare_until = now
         self.inherited_reports: list[tuple[int, InstanceReport]] = []
 
     def may_bind(self, key: int | None) -> bool:
         """Return whether a key is bound to a build, could be bound, or need not be."""
-        is_sticky = self.settings.release.sticky_keys and key is not None
-        return not is_sticky or key in self.sticky_builds or len(self.sticky_builds) < self.max_sticky_keys
+        return not self.settings.release.sticky_keys or key is None or self.sticky_keys.has_room_for(key)
 
     def age(self, endpoint: EndpointState) -> float:
         """Return the seconds since the endpoint's process started."""
--- a/gatebank/policy/routing.py
+++ b/gatebank/policy/routing.py
@@ -59,7 +59,7 @@
     """Return the ready endpoints that a request may be sent to.
 
     A keyed request that may have run stays in the group of its first such attempt, and a sticky key excludes
-    builds lower than its own. Endpoints that the request has not tried yet are preferred.
+    builds earlier than its own. Endpoints that the request has not tried yet are preferred.
     """
     found = state.endpoints.ready
     request_class = request.request_class
@@ -72,9 +72,9 @@
         group = "zone" if request_class.retry_group == "zone" else "cell"
         first = getattr(may_have_run[0].endpoint.listed, group)
         found = [endpoint for endpoint in found if getattr(endpoint.listed, group) == first]
-    if request.request.key in state.sticky_builds:
-        lowest = state.sticky_builds[request.request.key]
-        found = [endpoint for endpoint in found if endpoint.listed.build >= lowest]
+    earliest_build = state.sticky_keys.earliest_build(request.request.key)
+    if earliest_build is not None:
+        found = [endpoint for endpoint in found if endpoint.listed.build >= earliest_build]
     elif state.release and state.release.phase is Phase.RELEASED and not state.may_bind(request.request.key):
         # The released build may have answered a key that could not be bound: no such key goes back.
         newest = state.release.build or 0
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -109,9 +109,9 @@
         self.fleet = ControlPlaneView(registry)
         self.requests = RequestTable(max_in_flight_bytes)
         self.recent_ids = RecentRequestIds.within(max_in_flight_bytes // RECENT_ID_SHARE)
-        state = self.balancer.state
-        state.max_sticky_keys = min(
-            state.max_sticky_keys, max_in_flight_bytes // STICKY_KEY_SHARE // STICKY_KEY_BYTES
+        sticky_keys = self.balancer.state.sticky_keys
+        sticky_keys.max_keys = min(
+            sticky_keys.max_keys, max_in_flight_bytes // STICKY_KEY_SHARE // STICKY_KEY_BYTES
         )
         self.counts: dict[str, int] = {}  # Bounded by the number of kinds of outcomes and replies.
         self.max_timer_lag = 0.0
