--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -253,6 +253,8 @@
         record = state.outstanding[AttemptKey(number, attempt)]
         if not retry.may_run_again(state, request, request.attempts_that_may_have_run()[:-1]):
             return False
+        if not self.key_allows(number, attempt):
+            return False
         is_canary = exposure.is_canary(state, record.build)
         if is_canary and not exposure.cap_allows(state, request, record.build, new_attempts=0):
             return False
@@ -260,6 +262,18 @@
         state.traffic.attempts_to(record.build).restamp(started_at, record.request_class, state.now)
         return True
 
+    def key_allows(self, number: int, attempt: int) -> bool:
+        """Return whether the key of an attempt's request is not bound to a later build than the attempt's.
+
+        It may have been bound since the attempt was started, by the answer to another request.
+        """
+        key = self.state.requests[number].request.key
+        earliest_build = self.state.sticky_keys.earliest_build(key)
+        return (
+            earliest_build is None
+            or self.state.outstanding[AttemptKey(number, attempt)].build >= earliest_build
+        )
+
     # Steps of a request.
 
     def _advance(self, request: RequestState) -> None:
--- a/gatebank/proxy/dispatcher.py
+++ b/gatebank/proxy/dispatcher.py
@@ -53,7 +53,7 @@
 from gatebank.proxy.recent_ids import KEEP_AFTER_DEADLINE_S, RecentRequestIds
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.requests import RequestInFlight, RequestTable
-from gatebank.proxy.started_attempt import StartedAttempt
+from gatebank.proxy.started_attempt import IMMEDIATE_SEND_S, StartedAttempt
 from gatebank.proxy.upstream import Upstream
 from gatebank.settings import Settings
 
@@ -296,10 +296,13 @@
             if deadline < request.deadline:
                 attempt.timer = self.loop.call_later(deadline - now, attempt.abort, Outcome.TIMED_OUT)
 
-    def may_still_start(self, request: RequestInFlight, attempt: int, now: float) -> bool:
-        """Ask the balancer whether an attempt that waited for a connection may still be sent."""
+    def may_still_start(self, started: StartedAttempt, now: float) -> bool:
+        """Ask the balancer whether an attempt may still be sent, which may have waited for a connection."""
+        number = started.request.number
+        if now <= started.started + IMMEDIATE_SEND_S:
+            return self.balancer.key_allows(number, started.number)
         self.balancer.now = now
-        return self.balancer.may_start(request.number, attempt)
+        return self.balancer.may_start(number, started.number)
 
     def on_attempt_result(
         self, request: RequestInFlight, number: int, endpoint: int, started: float, reply: EndpointReply
--- a/gatebank/proxy/started_attempt.py
+++ b/gatebank/proxy/started_attempt.py
@@ -62,9 +62,7 @@
         now = dispatcher.clock()
         if not self.endpoint_still_fits() or self.request.answered or now >= self.deadline:
             return None
-        if now > self.started + IMMEDIATE_SEND_S and not dispatcher.may_still_start(
-            self.request, self.number, now
-        ):
+        if not dispatcher.may_still_start(self, now):
             return None
         if self.request.reply.client_has_gone():
             dispatcher.on_client_disconnect(self.request.reply)
