--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -146,14 +146,14 @@
         if attempt:
             self._record_result(attempt, result)
             self._attribute(request, SuspectedError(attempt, result))
+            if result.outcome is Outcome.SUCCESS:
+                self._bind_key(attempt)
         if request is None:
             return
         request.outcomes[result.attempt] = result.outcome
         if not result.request_done:
             self._advance(request)
             return
-        if attempt and result.outcome is Outcome.SUCCESS:
-            self._bind_key(request, attempt.build)
         self._close(request)
 
     def on_timer(self, timer: Timer) -> None:
@@ -267,12 +267,9 @@
 
         It may have been bound since the attempt was started, by the answer to another request.
         """
-        key = self.state.requests[number].request.key
-        earliest_build = self.state.sticky_keys.earliest_build(key)
-        return (
-            earliest_build is None
-            or self.state.outstanding[AttemptKey(number, attempt)].build >= earliest_build
-        )
+        record = self.state.outstanding[AttemptKey(number, attempt)]
+        earliest_build = self.state.sticky_keys.earliest_build(record.key)
+        return earliest_build is None or record.build >= earliest_build
 
     # Steps of a request.
 
@@ -298,7 +295,7 @@
         build = endpoint.listed.build
         self.actions.append(StartAttempt(number, endpoint.listed.index, None))
         key = AttemptKey(number, len(request.attempts))
-        state.outstanding[key] = AttemptRecord(endpoint, build, request_class)
+        state.outstanding[key] = AttemptRecord(endpoint, build, request_class, request.request.key)
         state.outstanding_by_endpoint.started(endpoint, request_class)
         state.traffic.attempts_to(build).add(state.now, request_class)
         request.add_attempt(endpoint, state.now)
@@ -314,18 +311,20 @@
         if self.state.settings.limits.may_cancel:
             self.actions += [CancelAttempt(number, attempt) for attempt in request.outstanding_attempts()]
 
-    def _bind_key(self, request: RequestState, build: int) -> None:
+    def _bind_key(self, attempt: AttemptRecord) -> None:
         """Bind a key to the build that has answered it, if the settings make keys sticky.
 
-        A canary answers a key only if there was room for it when its attempt was chosen, so the attempts in
-        flight are all that exceeds the bound on keys.
+        The answer counts whether or not its client still waits for it. A canary answers a key only if there
+        was room for the key when the attempt was chosen, so the attempts in flight are all that exceeds the
+        bound on keys.
         """
         state = self.state
-        key = request.request.key
-        if key is None or not state.settings.release.sticky_keys or not exposure.binds_keys(state, build):
+        key = attempt.key
+        is_sticky = state.settings.release.sticky_keys and exposure.binds_keys(state, attempt.build)
+        if key is None or not is_sticky:
             return
-        if state.may_bind(key) or exposure.is_canary(state, build):
-            state.sticky_keys.bind(key, build)
+        if state.may_bind(key) or exposure.is_canary(state, attempt.build):
+            state.sticky_keys.bind(key, attempt.build)
 
     # Statistics and evidence from results.
 
--- a/gatebank/core/request_state.py
+++ b/gatebank/core/request_state.py
@@ -19,11 +19,17 @@
 
 
 class AttemptRecord(NamedTuple):
-    """An attempt for the statistics; ``build`` is the build of the endpoint when the attempt started."""
+    """An outstanding attempt, which may outlive its request.
+
+    Attributes:
+        build: the build of the endpoint when the attempt started.
+        key: the key of the attempt's request.
+    """
 
     endpoint: EndpointState
     build: int
     request_class: int
+    key: int | None
 
     @property
     def latency_key(self) -> LatencyKey:
--- a/tests/test_sticky_keys.py
+++ b/tests/test_sticky_keys.py
@@ -156,6 +156,20 @@
     assert play.builds_of(1) == {NEW_BUILD}
 
 
+@pytest.mark.parametrize("is_announced", [False, True])
+def test_answer_binds_its_key_after_its_client_has_gone(is_announced: bool) -> None:
+    """Guards against keys that go back, as the answer came when its client had left (review/9)."""
+    play = StickyPlay(OLD_BUILD, NEW_BUILD)
+    play.tell(OLD_BUILD, Phase.RELEASED)
+    if is_announced:
+        play.tell(NEW_BUILD, Phase.CANARY)
+    for key in range(10):
+        number = play.send_to(key, NEW_BUILD)
+        play.balancer.on_client_disconnect(number)
+        play.answer(number)
+    assert [play.builds_of(key) for key in range(10)] == [{NEW_BUILD}] * 10
+
+
 @pytest.mark.parametrize("phase", [Phase.ROLLING_BACK, Phase.ROLLED_BACK])
 def test_build_that_goes_back_before_its_announcement_releases_its_keys(phase: Phase) -> None:
     play = StickyPlay(OLD_BUILD, NEW_BUILD)
