--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -35,6 +35,7 @@
         has_sent_command: Whether a whole command has arrived.
         discards_input: Whether further input is dropped, as malformed input came before it.
         consecutive_bad_commands: Number of consecutive commands that could not be carried out.
+        commands_granted: Number of commands that may be handled before this connection waits for a turn.
         arrival: Measures how long a command has waited since it arrived.
     """
 
@@ -51,6 +52,7 @@
         self.has_sent_command = False
         self.discards_input = False
         self.consecutive_bad_commands = 0
+        self.commands_granted = 1
         self.arrival = ArrivalClock(sock)
         self.reader = asyncio.ensure_future(self.read())
 
@@ -113,6 +115,8 @@
         while True:
             space = self.find_space()
             self.arrival.before_read()
+            if self.arrival.found_empty:
+                self.commands_granted = max(1, self.commands_granted)
             size = await self.reading.run(self.loop.sock_recv_into(self.sock, space))
             if not size:
                 self.on_disconnect()
@@ -177,17 +181,22 @@
             while len(self.replies) >= self.downstream.max_pipelined() or self.unwritten:
                 self.arrival.on_reading_paused()
                 await self.wait_until_written()
+            await self.wait_for_turn(arguments)
             self.handle_command(arguments)
             command_count += 1
-            if command_count % self.downstream.commands_per_turn() == 0:
-                self.arrival.on_reading_paused()
-                await asyncio.sleep(0)
             # Other clients are served first: repeated bad commands delay their sender alone.
             if self.consecutive_bad_commands:
                 self.arrival.on_reading_paused()
                 await asyncio.sleep(limits.BAD_COMMAND_PAUSE_S * self.consecutive_bad_commands)
         return command_count
 
+    async def wait_for_turn(self, arguments: list[memoryview]) -> None:
+        """Wait until a command may be handled; a small one that was waited for may be handled at once."""
+        if not self.commands_granted or sum(map(len, arguments)) > limits.SMALL_COMMAND_BYTES:
+            self.arrival.on_reading_paused()
+            self.commands_granted = await self.downstream.command_turns.wait()
+        self.commands_granted -= 1
+
     def update_partial_command_times(self, command_count: int) -> None:
         """Update the start times of the timeouts for an incomplete command.
 
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -11,9 +11,9 @@
 MAX_PIPELINED = 64
 MIN_PIPELINED = 4
 MAX_PIPELINED_IN_ALL = 4096
-# Commands that are handled before other connections get their turn: of one connection, and of all together.
+# Commands in one turn of the loop of all clients that have more commands waiting, or that send large ones.
 COMMANDS_PER_TURN = 8
-COMMANDS_PER_TURN_IN_ALL = 64
+SMALL_COMMAND_BYTES = 2048  # Size of the arguments of a command that is handled as soon as it is read.
 CHECK_INTERVAL_S = 0.1  # Interval at which the timeouts below are checked.
 
 # Some clients write slowly, in pieces. Both timeouts for commands stay below the 3 s that are allowed in all.
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -14,6 +14,7 @@
 from gatebank.proxy.configuration import Address, MemoryBounds
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.close_reason import CloseReason
+from gatebank.proxy.downstream.command_turns import CommandTurns
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
 from gatebank.proxy.downstream.reply_stream import ReplyStream
@@ -55,6 +56,7 @@
         self.session = ClientSession(request_classes_by_name(settings), tenants_by_name(settings))
         self.connections: dict[ClientConnection, None] = {}
         self.connection_numbers = count(1)
+        self.command_turns = CommandTurns(self.loop)
         self.discard_buffer = bytearray(limits.DISCARD_READ_BYTES)  # Receives input that nobody looks at.
         self.unwritten_bytes = 0
         self.peak_count = 0
@@ -154,11 +156,6 @@
             return limits.MAX_BAD_COMMANDS
         return limits.MAX_BAD_COMMANDS_WHEN_FULL
 
-    def commands_per_turn(self) -> int:
-        """Return the number of commands of one connection that are handled in one turn of the loop."""
-        share = limits.COMMANDS_PER_TURN_IN_ALL // max(1, len(self.connections))
-        return max(1, min(limits.COMMANDS_PER_TURN, share))
-
     def mark_used(self, connection: ClientConnection) -> None:
         """Mark a connection as the most recently used, as a command arrived on it."""
         self.connections[connection] = self.connections.pop(connection, None)
@@ -347,6 +344,7 @@
         if self.listener:
             self.listener.close()
         self.listener = None
+        self.command_turns.close()
         for connection in list(self.connections):
             connection.close(CloseReason.SHUTDOWN)
 
--- a/tests/support/flood_clients.py
+++ b/tests/support/flood_clients.py
@@ -23,6 +23,8 @@
     negative      send a command of a negative length at full speed; come again when closed
     endless_line  send a line without an end at full speed; come again when closed
     connect       connect, send nothing and close at once, again and again
+    many_fields   send a command with 10,000 short fields at full speed, and read the answers
+    payouts       send a payout at full speed, and read the answers
     leave         send 200 payouts and close without reading; again and again
 """
 
@@ -191,6 +193,12 @@
     async def endless_line(self) -> None:
         await self.repeat_at_full_speed(b"*1")
 
+    async def many_fields(self) -> None:
+        await self.repeat_at_full_speed(read_command(short_fields()))
+
+    async def payouts(self) -> None:
+        await self.repeat_at_full_speed(pay_command(b"b"))
+
     async def leave(self) -> None:
         await self.send(b"".join(pay_command(b"b") for _ in range(PAYOUTS_AT_ONCE)))
 
