--- a/gatebank/fakes/endpoint.py
+++ b/gatebank/fakes/endpoint.py
@@ -166,7 +166,10 @@
             # The peer ends this wait when it closes the connection.
             await reader.read()
             return False
-        return await self.reply(behaviour, writer, arguments)
+        is_open = await self.reply(behaviour, writer, arguments)
+        if attempt and is_open and not behaviour:
+            attempt.answered()
+        return is_open
 
     def execute(self, arguments: list[bytes], attempt: AttemptObserver | None) -> None:
         """Execute a command unless its idempotency key was received within the world's `key_memory_s`."""
--- a/gatebank/fakes/world.py
+++ b/gatebank/fakes/world.py
@@ -23,6 +23,9 @@
     def executed(self) -> None:
         """Called when the endpoint executes the command."""
 
+    def answered(self) -> None:
+        """Called when a whole value has been written to a connection that was open."""
+
 
 class World:
     """Fake endpoints, discovery and release service; `wait_for` waits until they reach some state.
--- a/tests/soak/rules/__init__.py
+++ b/tests/soak/rules/__init__.py
@@ -21,6 +21,7 @@
 from tests.soak.rules.effects import check_effects
 from tests.soak.rules.endpoints import check_cold_endpoints, check_drains
 from tests.soak.rules.exposure import check_exposure
+from tests.soak.rules.keys import check_sticky_keys
 from tests.soak.rules.processes import check_datagrams, check_memory, check_processes, check_rest
 
 __all__ = ["RULES", "Violation", "find_violations"]
@@ -34,6 +35,7 @@
     check_drains,
     check_cold_endpoints,
     check_exposure,
+    check_sticky_keys,
     check_processes,
     check_datagrams,
     check_rest,
--- a/tests/soak/rules/moments.py
+++ b/tests/soak/rules/moments.py
@@ -15,6 +15,7 @@
 from tests.soak.rules.base import attempts_by_request
 from tests.soak.rules.endpoints import not_ready_spans
 from tests.soak.rules.exposure import cap_from_update
+from tests.soak.rules.keys import first_answers, process_key
 
 # Time after an instance was informed of a drain, in which it would still use the endpoint if it ignored that.
 DRAIN_MOMENT_S = 2.0
@@ -31,6 +32,9 @@
 SHUTDOWN = "requests just before a process ended"
 LOWER_CAP = "attempts at a canary as its cap falls"
 ID_AGAIN = "ids that came again after their client had left"
+STICKY_KEY = "requests with a key that the canary had answered"
+UNANNOUNCED_KEY = "keys answered by the canary before its announcement"
+STARVED = "requests during a flood at a quarter of a core"
 
 
 def count_moments(records: Records) -> dict[str, int]:
@@ -42,9 +46,51 @@
         SHUTDOWN: count_shutdowns(records),
         LOWER_CAP: count_lower_caps(records),
         ID_AGAIN: records.ids_sent_again,
+        STICKY_KEY: count_sticky_keys(records),
+        UNANNOUNCED_KEY: count_unannounced_keys(records),
+        STARVED: count_starved(records),
     }
 
 
+def count_sticky_keys(records: Records) -> int:
+    """Count requests that were sent after the canary had answered their key."""
+    if not records.limits.has_sticky_keys:
+        return 0
+    bound_at = first_answers(records)
+    return sum(
+        request.sent_at is not None and request.sent_at > bound_at.get(process_key(request), math.inf)
+        for request in records.requests.values()
+    )
+
+
+def count_unannounced_keys(records: Records) -> int:
+    """Count keys that the canary answered before the instance was told of it."""
+    if not records.limits.has_sticky_keys:
+        return 0
+    announced_at = {
+        instance: min(
+            (
+                update.at
+                for update in records.release_updates
+                if update.instance == instance and update.build != BASE_BUILD
+            ),
+            default=math.inf,
+        )
+        for instance in {incarnation.instance for incarnation in records.incarnations}
+    }
+    return sum(bound_at < announced_at[key[0]] for key, bound_at in first_answers(records).items())
+
+
+def count_starved(records: Records) -> int:
+    """Count requests that were sent to an instance with a quarter of a core during a flood."""
+    return sum(
+        crowd.is_starved and crowd.instance == request.instance and crowd.begin <= sent_at <= crowd.end
+        for request in records.requests.values()
+        if (sent_at := request.sent_at) is not None
+        for crowd in records.crowds
+    )
+
+
 def count_drains(records: Records) -> int:
     """Count an instance's attempts soon after it was informed that an endpoint is draining or deleted."""
     times: dict[int, list[float]] = defaultdict(list)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -49,6 +49,8 @@
         """Count the execution."""
         self.executions[self.request_id] += 1
 
+    def answered(self) -> None: ...
+
 
 def new_id() -> bytes:
     """Return an id that was not used before."""
