--- a/gatebank/balancer.py
+++ b/gatebank/balancer.py
@@ -53,7 +53,7 @@
     RetrySafety,
 )
 from gatebank.peer_messages import FleetReport, InstanceReport, PeerMessage, merge_reports
-from gatebank.policy import evidence, exposure, measurement, outlier, retry, rollout, slow_start
+from gatebank.policy import evidence, exposure, measurement, outlier, retry, rollout, slow_start, sticky_keys
 from gatebank.policy.sequential_test import SequentialTest
 from gatebank.settings import Settings
 
@@ -147,7 +147,7 @@
             self._record_result(attempt, result)
             self._attribute(request, SuspectedError(attempt, result))
             if result.outcome is Outcome.SUCCESS:
-                self._bind_key(attempt)
+                sticky_keys.bind_key(state, attempt)
         if request is None:
             return
         request.outcomes[result.attempt] = result.outcome
@@ -213,7 +213,7 @@
         state.release = status
         is_tested = status.phase in (Phase.CANARY, Phase.RELEASED)
         same_build = previous is not None and previous.build == status.build
-        state.sticky_keys.retain(lambda build: exposure.binds_keys(state, build))
+        sticky_keys.release_keys(state)
         if previous and same_build and (previous.stage, previous.phase) == (status.stage, status.phase):
             return
         if not same_build:
@@ -253,7 +253,7 @@
         record = state.outstanding[AttemptKey(number, attempt)]
         if not retry.may_run_again(state, request, request.attempts_that_may_have_run()[:-1]):
             return False
-        if not self.key_allows(number, attempt):
+        if not sticky_keys.key_allows(state, record):
             return False
         is_canary = exposure.is_canary(state, record.build)
         if is_canary and not exposure.cap_allows(state, request, record.build, new_attempts=0):
@@ -263,13 +263,8 @@
         return True
 
     def key_allows(self, number: int, attempt: int) -> bool:
-        """Return whether the key of an attempt's request is not bound to a later build than the attempt's.
-
-        It may have been bound since the attempt was started, by the answer to another request.
-        """
-        record = self.state.outstanding[AttemptKey(number, attempt)]
-        earliest_build = self.state.sticky_keys.earliest_build(record.key)
-        return earliest_build is None or record.build >= earliest_build
+        """Return whether an attempt may still be sent, as far as its key matters; part of `may_start`."""
+        return sticky_keys.key_allows(self.state, self.state.outstanding[AttemptKey(number, attempt)])
 
     # Steps of a request.
 
@@ -311,21 +306,6 @@
         if self.state.settings.limits.may_cancel:
             self.actions += [CancelAttempt(number, attempt) for attempt in request.outstanding_attempts()]
 
-    def _bind_key(self, attempt: AttemptRecord) -> None:
-        """Bind a key to the build that has answered it, if the settings make keys sticky.
-
-        The answer counts whether or not its client still waits for it. A canary answers a key only if there
-        was room for the key when the attempt was chosen, so the attempts in flight are all that exceeds the
-        bound on keys.
-        """
-        state = self.state
-        key = attempt.key
-        is_sticky = state.settings.release.sticky_keys and exposure.binds_keys(state, attempt.build)
-        if key is None or not is_sticky:
-            return
-        if state.may_bind(key) or exposure.is_canary(state, attempt.build):
-            state.sticky_keys.bind(key, attempt.build)
-
     # Statistics and evidence from results.
 
     def _record_result(self, attempt: AttemptRecord, result: AttemptResult) -> None:
@@ -474,6 +454,7 @@
         """Do the periodic work: expire old counts and reports, update rates, send reports and vote."""
         state = self.state
         self._start_timer(measurement.TICK_S, Tick())
+        sticky_keys.release_keys(state)
         measurement.expire_traffic(state)
         state.traffic.update_rates(state.now - state.started_at, measurement.RATE_WINDOWS)
         if state.now >= state.fleet.received_at + rollout.REPORT_LIFETIME_S:
--- a/gatebank/core/endpoint_table.py
+++ b/gatebank/core/endpoint_table.py
@@ -34,7 +34,8 @@
         ready: the endpoints that requests may be sent to, in the order of their name hashes, which is the
             same at all instances.
         groups: the ready endpoints grouped by build.
-        lowest_build: the lowest build number in ``by_index``; 0 if there is no endpoint.
+        lowest_build, highest_build: the lowest and the highest build number in ``by_index``; 0 if there is no
+            endpoint.
     """
 
     def __init__(self) -> None:
@@ -42,6 +43,7 @@
         self.ready: list[EndpointState] = []
         self.groups = EndpointGroups([])
         self.lowest_build = 0
+        self.highest_build = 0
 
     def update(self, endpoints: Sequence[Endpoint], *, complete: bool) -> None:
         """Apply a complete list or a change of it.
@@ -61,7 +63,9 @@
         by_hash = sorted(self.by_index.values(), key=lambda state: state.listed.name_hash)
         self.ready = [state for state in by_hash if state.listed.condition is Condition.READY]
         self.groups = EndpointGroups(self.ready)
-        self.lowest_build = min((state.listed.build for state in self.by_index.values()), default=0)
+        builds = [state.listed.build for state in self.by_index.values()]
+        self.lowest_build = min(builds, default=0)
+        self.highest_build = max(builds, default=0)
 
     def counts(self, build: int, oldest: int, now: float, warm_up: float) -> EndpointCounts:
         """Return the endpoint counts for weighing the evidence on a build.
--- a/gatebank/core/sticky_keys.py
+++ b/gatebank/core/sticky_keys.py
@@ -28,6 +28,7 @@
         self.max_keys = max_keys
         self._builds: dict[int, int] = {}
         self._key_counts: Counter[int] = Counter()
+        self._unlisted_since: dict[int, float] = {}
 
     def __len__(self) -> int:
         return len(self._builds)
@@ -54,6 +55,20 @@
         """Return the builds that any key is bound to."""
         return set(self._key_counts)
 
+    def note_listed(self, highest_build: int, now: float) -> None:
+        """Note from when on neither an endpoint of a bound build nor of a later one is listed.
+
+        Args:
+            highest_build: the highest build of any listed endpoint.
+            now: the current time.
+        """
+        unlisted = {build for build in self._key_counts if build > highest_build}
+        self._unlisted_since = {build: self._unlisted_since.get(build, now) for build in unlisted}
+
+    def unlisted_time(self, build: int, now: float) -> float:
+        """Return the seconds for which no endpoint of a build or of a later one has been listed."""
+        return now - self._unlisted_since.get(build, now)
+
     def retain(self, keeps: Callable[[int], bool]) -> None:
         """Release the keys of the builds for which ``keeps`` returns False."""
         kept = {build for build in self._key_counts if keeps(build)}
--- a/gatebank/policy/exposure.py
+++ b/gatebank/policy/exposure.py
@@ -17,18 +17,6 @@
     return build > release.build or (build == release.build and release.phase is not Phase.RELEASED)
 
 
-def binds_keys(state: BalancerState, build: int) -> bool:
-    """Return whether a key that this build answers must not be sent to an earlier one.
-
-    These are the announced build, unless it is rolled back, and each later build, which counts as being in
-    the first stage until it is announced.
-    """
-    release = state.release
-    if release is None or release.build != build:
-        return is_canary(state, build)
-    return release.phase in (Phase.CANARY, Phase.RELEASED)
-
-
 def cap_allows(state: BalancerState, request: RequestState, build: int, new_attempts: int = 1) -> bool:
     """Return whether the cap allows further attempts of a request at a canary.
 
--- a/tests/test_sticky_keys.py
+++ b/tests/test_sticky_keys.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from gatebank.actions import StartAttempt
+from gatebank.actions import StartAttempt, Tick
 from gatebank.balancer import Balancer
 from gatebank.events import (
     AttemptResult,
@@ -20,6 +20,7 @@
     Request,
     RetrySafety,
 )
+from gatebank.policy.sticky_keys import UNLISTED_BUILD_LIFETIME_S
 from gatebank.proxy.discovery import EndpointRegistry
 from gatebank.proxy.dispatcher import Dispatcher
 from gatebank.proxy.messages import EndpointReply, RequestClassRef
@@ -194,6 +195,21 @@
     assert play.builds_of(1) == {later_build}
 
 
+def test_build_that_is_withdrawn_without_news_releases_its_keys() -> None:
+    """Guards against keys that no endpoint may ever serve, as their build is neither listed nor announced."""
+    play = StickyPlay(OLD_BUILD, NEW_BUILD)
+    play.tell(OLD_BUILD, Phase.RELEASED)
+    play.answer(play.send_to(1, NEW_BUILD))
+    play.list_endpoints(OLD_BUILD)
+    play.balancer.on_timer(Tick())
+    play.balancer.now += UNLISTED_BUILD_LIFETIME_S - 5.0
+    play.balancer.on_timer(Tick())
+    assert play.builds_of(1) == {None}  # News of the build may still come.
+    play.balancer.now += 6.0
+    play.balancer.on_timer(Tick())
+    assert play.builds_of(1) == {OLD_BUILD}
+
+
 def test_number_of_keys_bound_to_an_unannounced_build_is_bounded() -> None:
     play = StickyPlay(OLD_BUILD, NEW_BUILD)
     play.balancer.state.sticky_keys.max_keys = MAX_KEYS
