--- a/gatebank/proxy/discovery.py
+++ b/gatebank/proxy/discovery.py
@@ -31,6 +31,10 @@
 WATCH_WAIT_S = 2.0
 # Time that a reply may take beyond WATCH_WAIT_S before the connection is considered dead.
 REPLY_GRACE_S = 1.0
+# Time for a reply, also to a call for the complete list: a slow discovery answers it as late as a watch. A
+# connection that falls silent is still replaced in time for the 4 s after SIGHUP and the 6 s elsewhere.
+REPLY_TIMEOUT_S = WATCH_WAIT_S + REPLY_GRACE_S
+SLOW_WATCH_WAIT_S = 1.0  # The wait after an unanswered call, which leaves a slow discovery more of the time.
 MIN_RETRY_DELAY_S = 0.1  # Delay before a retry; below the 0.2 s within which a watch has to continue.
 MAX_REPLY_DELAY_S = 0.1  # Longest delay before the call after a reply, within the same 0.2 s.
 EARLY_REPLY_S = WATCH_WAIT_S / 2  # A reply without news that comes sooner was not held open.
@@ -329,6 +333,7 @@
         self.lease = lease
         self.client = HttpClient(address, max_list_bytes)
         self.is_failing = False
+        self.watch_wait = WATCH_WAIT_S  # Seconds for which discovery is asked to hold the next call open.
 
     async def run(self) -> None:
         """Watch until the connection fails after the lease was superseded."""
@@ -342,12 +347,16 @@
                     if self.lease.is_superseded:
                         return
                     refused = isinstance(error, DiscoveryRefusedError)
+                    if not refused:
+                        self.watch_wait = SLOW_WATCH_WAIT_S
                     self.record_failure(error, refused)
                     self.client.close()
                     await asyncio.sleep(self.backoff.delay_after_failure(refused))
                 else:
                     answered_at = time.monotonic()
                     has_news = bool(listing.endpoints) and listing.version != self.version
+                    if answered_at - asked_at < self.watch_wait + REPLY_GRACE_S / 2 and not has_news:
+                        self.watch_wait = WATCH_WAIT_S
                     self.apply(listing)
                     handling_time = time.monotonic() - answered_at
                     await asyncio.sleep(delay_after_reply(has_news, answered_at - asked_at, handling_time))
@@ -364,12 +373,10 @@
             ValueError: The reply is not valid JSON.
         """
         target = WATCH_PATH
-        timeout = REPLY_GRACE_S
         if self.version is not None:
-            target += f"?after={self.version}&wait_ms={WATCH_WAIT_S * 1000:.0f}"
-            timeout += WATCH_WAIT_S
+            target += f"?after={self.version}&wait_ms={self.watch_wait * 1000:.0f}"
         self.listener.count("roll calls")
-        reply = await self.client.call("GET", target, timeout)
+        reply = await self.client.call("GET", target, REPLY_TIMEOUT_S)
         if reply.status != 200:
             raise DiscoveryRefusedError(f"discovery answered {reply.status}")
         return self.registry.parse_list(orjson.loads(reply.body))
