--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -162,11 +162,11 @@
         left = limits.MAX_DISCARDED_BYTES
         with suppress(OSError, asyncio.CancelledError):
             while left > 0:
+                await self.downstream.discard_turns.wait()
                 size = await self.loop.sock_recv_into(self.sock, self.downstream.discard_buffer)
                 if not size:
                     return
                 left -= size
-                await asyncio.sleep(0)
 
     async def handle_commands(self) -> int:
         """Handle the whole commands in the buffer, no faster than replies are written.
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -15,7 +15,8 @@
 COMMANDS_PER_TURN = 8
 SMALL_COMMAND_BYTES = 2048  # Size of the arguments of a command that is handled as soon as it is read.
 CHECK_INTERVAL_S = 0.1  # Interval at which the timeouts below are checked.
-CHECKS_PER_TURN = 64  # Connections whose timeouts are checked, and which may be closed, in one turn.
+CHECKS_PER_TURN = 64  # Connections whose timeouts are checked in one turn, if none is closed.
+CHECKS_PER_CLOSE = 8  # A close costs as much: the kernel frees the bytes that nobody has read.
 
 # Some clients write slowly, in pieces. Both timeouts for commands stay below the 3 s that are allowed in all.
 # Timeout for the first command of a connection, and for the next byte of a command that was begun.
@@ -40,6 +41,7 @@
 # the error line: several times the largest command.
 MAX_DISCARDED_BYTES = 512 * 1024
 DISCARD_READ_BYTES = 64 * 1024
+DISCARDS_PER_TURN = 8  # Such reads in one turn of the loop, of all connections.
 
 IDLE_TIMEOUT_S = 60.0  # Timeout of a connection without a request in flight.
 # Idle timeout where more than half of the allowed connections are open.
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -14,10 +14,10 @@
 from gatebank.proxy.configuration import Address, MemoryBounds
 from gatebank.proxy.downstream import limits
 from gatebank.proxy.downstream.close_reason import CloseReason
-from gatebank.proxy.downstream.command_turns import CommandTurns
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
 from gatebank.proxy.downstream.reply_stream import ReplyStream
+from gatebank.proxy.downstream.work_turns import WorkTurns
 from gatebank.proxy.log import LogInterval, log_kv
 from gatebank.proxy.messages import request_classes_by_name, tenants_by_name
 from gatebank.proxy.resp2.session import ClientSession
@@ -56,7 +56,8 @@
         self.session = ClientSession(request_classes_by_name(settings), tenants_by_name(settings))
         self.connections: dict[ClientConnection, None] = {}
         self.connection_numbers = count(1)
-        self.command_turns = CommandTurns(self.loop)
+        self.command_turns = WorkTurns(self.loop, limits.COMMANDS_PER_TURN)
+        self.discard_turns = WorkTurns(self.loop, limits.DISCARDS_PER_TURN)
         self.discard_buffer = bytearray(limits.DISCARD_READ_BYTES)  # Receives input that nobody looks at.
         self.unwritten_bytes = 0
         self.peak_count = 0
@@ -176,11 +177,15 @@
     async def check_all_timeouts(self) -> None:
         """Check each connection's timeouts once, in several turns, and close surplus idle connections."""
         is_crowded = 2 * len(self.connections) > self.max_connections
-        for number, connection in enumerate(list(self.connections), start=1):
-            if not connection.closed:
-                connection.check_timeouts(self.loop.time(), is_crowded)
-            if number % limits.CHECKS_PER_TURN == 0:
+        checks_left = limits.CHECKS_PER_TURN
+        for connection in list(self.connections):
+            if connection.closed:
+                continue
+            connection.check_timeouts(self.loop.time(), is_crowded)
+            checks_left -= limits.CHECKS_PER_CLOSE if connection.closed else 1
+            if checks_left <= 0:
                 await asyncio.sleep(0)
+                checks_left = limits.CHECKS_PER_TURN
         self.close_surplus_idle()
 
     def close_surplus_idle(self) -> None:
@@ -352,6 +357,7 @@
             self.listener.close()
         self.listener = None
         self.command_turns.close()
+        self.discard_turns.close()
         for connection in list(self.connections):
             connection.close(CloseReason.SHUTDOWN)
 
--- a/gatebank/proxy/downstream/command_turns.py
+++ b/gatebank/proxy/downstream/work_turns.py
@@ -1,8 +1,8 @@
-"""Turns of the event loop for the clients that have more commands waiting.
+"""Turns of the event loop for work that many connections have at once.
 
-A client that sends one small command and waits for its answer is served as soon as its bytes are read. All
-others share a bounded number of commands in each turn of the loop, so that neither their number nor the cost
-of their commands makes the turn long for the others.
+A connection waits for its turn before each unit of such work, for instance the handling of a command. All of
+them share a bounded number of units in each turn of the loop, so that neither their number nor the cost of
+their work makes the turn long for the others.
 """
 
 from __future__ import annotations
@@ -10,23 +10,23 @@
 import asyncio
 from collections import deque
 
-from gatebank.proxy.downstream import limits
 
-
-class CommandTurns:
-    """Grants commands to the connections that wait, first come, first served.
+class WorkTurns:
+    """Grants units of work to the connections that wait, first come, first served.
 
     Args:
         loop: The event loop whose turns are shared.
+        units_per_turn: Units that all connections together get in each turn.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, units_per_turn: int) -> None:
         self.loop = loop
+        self.units_per_turn = units_per_turn
         self.waiting: deque[asyncio.Future[int]] = deque()
         self.grant_handle: asyncio.Handle | None = None
 
     async def wait(self) -> int:
-        """Wait for a turn; return the number of commands that may be handled in it, at least 1."""
+        """Wait for a turn; return the number of units that may be done in it, at least 1."""
         turn: asyncio.Future[int] = self.loop.create_future()
         self.waiting.append(turn)
         if not self.grant_handle:
@@ -34,8 +34,8 @@
         return await turn
 
     def grant(self) -> None:
-        """Grant the commands of one turn of the loop."""
-        left = limits.COMMANDS_PER_TURN
+        """Grant the units of one turn of the loop."""
+        left = self.units_per_turn
         share = max(1, left // len(self.waiting))
         while left >= share and self.waiting:
             turn = self.waiting.popleft()
--- a/tests/test_reader_turns.py
+++ b/tests/test_reader_turns.py
@@ -17,18 +17,20 @@
 from contextlib import asynccontextmanager, closing, suppress
 from dataclasses import dataclass
 from random import Random
+from typing import Any, cast
 
 import pytest
 
 from gatebank.events import Endpoint, ReleaseStatus
 from gatebank.fakes.wire import encode_command, http_response
 from gatebank.proxy.discovery import EndpointRegistry, EndpointWatch, PollBackoff
+from gatebank.proxy.downstream import limits
 from gatebank.proxy.http import HttpClient, NoReplyError
 from gatebank.proxy.release_service import ReleaseService
 from gatebank.proxy.resp2.codec import CLIENT_BUFFER_BYTES
 from gatebank.proxy.sockets import WatchLease
 from gatebank.settings import Settings
-from tests.support.connections import DownstreamHarness, UpstreamHarness, wait_until
+from tests.support.connections import Client, DownstreamHarness, UpstreamHarness, wait_until
 
 pytestmark = pytest.mark.uvloop
 
@@ -102,6 +104,63 @@
     return sender
 
 
+MALFORMED_CLIENTS = 60
+MALFORMED = b"\0" * 150_000  # More than two reads of input that is dropped.
+MOST_PER_TURN = 16  # Reads or closes: about 0.25 ms of processor time each.
+
+
+class CountingLoop:
+    """An event loop that counts the reads it has made."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.read_count = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def sock_recv_into(self, sock: socket.socket, buffer: memoryview) -> int:
+        size = await self.loop.sock_recv_into(sock, buffer)
+        self.read_count += 1
+        return size
+
+
+async def highest_per_turn(count: Callable[[], int], until: Callable[[], bool]) -> int:
+    """Return by how much a count rose in one turn at most, until a condition holds."""
+    highest = 0
+    last = count()
+    while not until():
+        await asyncio.sleep(0)
+        highest = max(highest, count() - last)
+        last = count()
+    return highest
+
+
+async def test_crowd_with_malformed_input_has_few_reads_and_closes_in_a_turn() -> None:
+    """Guards against turns in which all clients' input is dropped, and many are closed (0.02 s of work)."""
+    with closing(DownstreamHarness(2 * MALFORMED_CLIENTS)) as harness:
+        downstream = harness.downstream
+        loop = CountingLoop(asyncio.get_running_loop())
+        downstream.loop = cast(asyncio.AbstractEventLoop, loop)
+        clients = [Client(harness.address) for _ in range(MALFORMED_CLIENTS)]
+        for client in clients:
+            client.sock.send(MALFORMED)
+        await wait_until(lambda: downstream.protocol_error_count == MALFORMED_CLIENTS)
+        reads_before = loop.read_count
+        most_reads = await highest_per_turn(
+            lambda: loop.read_count, lambda: loop.read_count >= reads_before + MALFORMED_CLIENTS
+        )
+        for connection in downstream.connections:
+            connection.timeout_start -= limits.CLOSING_TIMEOUT_S
+        checks = asyncio.ensure_future(downstream.check_all_timeouts())
+        most_closes = await highest_per_turn(lambda: -len(downstream.connections), checks.done)
+        assert not downstream.connections
+        for client in clients:
+            client.sock.close()
+    assert most_reads <= MOST_PER_TURN
+    assert most_closes <= MOST_PER_TURN
+
+
 async def test_commands_that_fill_one_read_each() -> None:
     with closing(DownstreamHarness()) as harness:
         client, connection = await harness.connect_client()
