--- a/gatebank/proxy/downstream/connection.py
+++ b/gatebank/proxy/downstream/connection.py
@@ -45,6 +45,8 @@
         self.parse_commands = buffer.commands
         self.skip_command = buffer.skip_command
         self.partial_values = buffer.partial_command_values
+        self.count_commands = buffer.count_commands
+        self.is_skipping_command = buffer.is_skipping
         self.number = next(downstream.connection_numbers)
         self.partial_command_since = 0.0
         self.last_bytes_at = 0.0
@@ -126,6 +128,10 @@
             command_count = await self.handle_commands()
             self.update_partial_command_times(command_count)
             self.is_handling_read = False
+            if self.evicted:
+                self.start_closing()
+                self.close_if_evicted()
+                return
             # More bytes may be waiting, and a read that finds bytes at once does not yield to other tasks. A
             # client that sent exactly one command usually waits for the reply, so the next read yields.
             if command_count != 1:
@@ -176,18 +182,24 @@
         """
         command_count = 0
         for arguments in self.parse_commands():
-            while len(self.replies) >= self.downstream.max_pipelined() or self.unwritten:
+            while self.must_wait_for_replies():
                 self.arrival.on_reading_paused()
                 await self.wait_until_written()
-            await self.wait_for_turn(arguments)
+            if not self.evicted:
+                await self.wait_for_turn(arguments)
             self.handle_command(arguments)
             command_count += 1
             # Other clients are served first: repeated bad commands delay their sender alone.
-            if self.consecutive_bad_commands:
+            if self.consecutive_bad_commands and not self.evicted:
                 self.arrival.on_reading_paused()
                 await asyncio.sleep(limits.BAD_COMMAND_PAUSE_S * self.consecutive_bad_commands)
         return command_count
 
+    def must_wait_for_replies(self) -> bool:
+        """Return whether replies have to be written before the next command is handled."""
+        is_behind = bool(self.unwritten) or len(self.replies) >= self.downstream.max_pipelined()
+        return is_behind and not self.evicted
+
     async def wait_for_turn(self, arguments: list[memoryview]) -> None:
         """Wait until a command may be handled; a small one that was waited for may be handled at once."""
         if not self.commands_granted or sum(map(len, arguments)) > limits.SMALL_COMMAND_BYTES:
@@ -255,6 +267,8 @@
         # Nothing is read while a command waits, so only this check sees that its client has gone.
         if waited and peer_has_closed(self.sock):
             return "its client disconnected"
+        if self.evicted:
+            return "its connection ends to make room"
         if self.close_may_be_hidden():
             return "its client may have closed behind bytes that are not read yet"
         if request.timeout <= 0:
@@ -316,6 +330,41 @@
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
+    def sends_without_waiting(self) -> bool:
+        """Return whether the client has sent many commands without waiting for their answers."""
+        unanswered = len(self.replies) + self.count_commands(limits.MIN_PIPELINED + 1)
+        return unanswered > limits.MIN_PIPELINED
+
+    def skips_refused_command(self, now: float) -> bool:
+        """Return whether only the rest of a command still arrives that was answered some time ago."""
+        is_refused = self.idle and self.is_skipping_command()
+        return is_refused and now - self.timeout_start >= limits.FIRST_COMMAND_GRACE_S
+
+    def may_be_evicted(self, now: float) -> bool:
+        """Return whether the client does more than wait for the answer of one command."""
+        if self.closing or self.evicted:
+            return False
+        return self.sends_without_waiting() or self.skips_refused_command(now)
+
+    def evict(self) -> None:
+        """End the connection to make room, although its client still sends.
+
+        Commands that were read are rejected, requests in flight are answered. The client sends what is not
+        read again on another connection: PROTOCOL lets an instance close one between requests.
+        """
+        self.evicted = True
+        if not self.is_being_read():
+            self.start_closing()
+            self.reader.cancel()
+            self.close_if_evicted()
+        elif self.all_written and not self.all_written.done():
+            self.all_written.set_result(None)
+
+    def close_if_evicted(self) -> None:
+        """Close an evicted connection once all that was read is answered, and the answers are sent."""
+        if self.evicted and self.closing and self.idle and not has_unsent_bytes(self.sock):
+            self.downstream.close_soon(self, CloseReason.MAKE_ROOM)
+
     def start_closing(self) -> None:
         """Mark that reading has ended, and start the closing timeout."""
         self.closing = True
@@ -347,7 +396,7 @@
             # The delay lets the client read the error line, or see the end of the connection.
             if now - self.timeout_start >= self.linger_time():
                 self.close(CloseReason.ERROR_SENT)
-        elif now - self.timeout_start >= limits.CLOSING_TIMEOUT_S:
+        elif now - self.timeout_start >= self.closing_timeout():
             # The error line is due, so all requests before it get their final answer now.
             self.timeout_start = now
             replies = list(self.replies)
@@ -356,10 +405,16 @@
             if not replies:  # All requests are answered, but the client does not read the replies.
                 self.close(CloseReason.WRITE_STALLED)
 
+    def closing_timeout(self) -> float:
+        """Return the seconds that requests in flight get after the last read, or replies to be taken."""
+        return limits.EVICTION_GRACE_S if self.evicted else limits.CLOSING_TIMEOUT_S
+
     def linger_time(self) -> float:
         """Return the seconds from the last written reply to the close, once reading has ended."""
         if has_unsent_bytes(self.sock):
-            return limits.CLOSING_TIMEOUT_S
+            return self.closing_timeout()
+        if self.evicted:
+            return 0.0
         is_in_service = self.downstream.terminated_at is None
         return limits.ERROR_LINGER_S if self.discards_input and is_in_service else limits.LINGER_S
 
@@ -391,7 +446,8 @@
             self.close(CloseReason.IDLE)
 
     def on_replies_written(self) -> None:
-        """See `ReplyStream`; during shutdown, an idle connection is closed."""
+        """See `ReplyStream`; an evicted connection is closed and, during shutdown, each idle one."""
+        self.close_if_evicted()
         self.downstream.close_if_finished(self)
 
     # End of the connection.
@@ -425,6 +481,11 @@
             ids = b",".join(request_id for request_id in unanswered if request_id).decode(errors="replace")
             log_kv("client_closed", logging.DEBUG, why=reason, unanswered=len(unanswered), ids=ids)
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the connection has its error line, and stays open only for the client to read it."""
+        return self.closing and self.idle and not self.evicted
+
     @property
     def state(self) -> str:
         """The connection's state in one word, for the counters of the status line."""
--- a/gatebank/proxy/downstream/limits.py
+++ b/gatebank/proxy/downstream/limits.py
@@ -73,6 +73,11 @@
 # Time that a client gets to take its last answer before its connection may be closed to make room for others;
 # the system still sends what it has, unless the client sends more.
 UNTAKEN_GRACE_S = 0.5
+# Where all places are taken and none is idle, clients with more than MIN_PIPELINED commands lose theirs, and
+# those that still send a command which has its answer.
+EVICTIONS_PER_TURN = 32
+# Time that the requests in flight of such a client get, and after them the client to take the answers.
+EVICTION_GRACE_S = 0.5
 MAKE_ROOM_RETRY_S = 0.01  # Interval of the search for a connection that may be closed to make room.
 SHUTDOWN_CHECK_INTERVAL_S = 0.02  # Interval of the search for idle connections during shutdown.
 
--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -7,7 +7,7 @@
 import socket
 from collections import Counter
 from contextlib import suppress
-from itertools import count
+from itertools import count, islice
 from math import inf
 
 from gatebank.proxy.buffers import MemoryBudget
@@ -115,7 +115,7 @@
         places are taken, each accepted connection gets that of one which has its error line and only lingers.
         """
         listener = self.listener
-        lingering = [connection for connection in self.connections if connection.closing and connection.idle]
+        lingering = [connection for connection in self.connections if connection.is_lingering]
         lingering.reverse()
         for _ in range(limits.MAX_ACCEPTS_PER_TURN):
             is_full = len(self.connections) >= self.max_connections
@@ -137,9 +137,8 @@
         Args:
             newest: The connection accepted last, which is not closed.
         """
-        while True:
-            if len(self.connections) <= self.max_connections or self.make_room(newest):
-                return
+        while len(self.connections) > self.max_connections and not self.make_room(newest):
+            self.evict_some()
             await asyncio.sleep(limits.MAKE_ROOM_RETRY_S)
 
     def add_connection(self, sock: socket.socket) -> ClientConnection:
@@ -217,7 +216,11 @@
             False if no connection may be closed.
         """
         now = self.loop.time()
-        idle = [connection for connection in self.connections if connection.idle and connection is not newest]
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.idle and not connection.evicted and connection is not newest
+        ]
         unused = [
             connection
             for connection in idle
@@ -237,6 +240,21 @@
             chosen.close(CloseReason.MAKE_ROOM)
         return chosen is not None
 
+    def evict_some(self) -> None:
+        """End some of the connections whose clients do not wait for answers, the least recent first.
+
+        A client that sends without a pause always has commands waiting, and would hold its place for good.
+        Ordinary clients send a command when they have the answer to the last one (PROTOCOL): they are not
+        ended.
+        """
+        now = self.loop.time()
+        connections = list(self.connections)
+        for connection in connections:
+            connection.close_if_evicted()
+        chosen = (connection for connection in connections if connection.may_be_evicted(now))
+        for connection in islice(chosen, limits.EVICTIONS_PER_TURN):
+            connection.evict()
+
     def close_stalled_commands(self, size: int) -> None:
         """End connections that stopped within a command, the longest silent first, to free ``size`` bytes.
 
--- a/gatebank/proxy/downstream/reply_stream.py
+++ b/gatebank/proxy/downstream/reply_stream.py
@@ -30,6 +30,8 @@
         closing: Whether reading has ended; `ClientConnection.check_timeouts` closes the connection.
         discards_input: Whether further input is dropped, as malformed input came before it. The client sees
             the end of the connection with its close.
+        evicted: Whether the connection ends to make room: what was read of it is rejected, then it is closed.
+            The close resets it if commands are unread, so that the client can send these again.
         all_written: Future that is done once all replies so far are written to the kernel; None if no task
             waits for that.
     """
@@ -49,6 +51,7 @@
         self.timeout_start = downstream.loop.time()
         self.closing = False
         self.discards_input = False
+        self.evicted = False
         self.all_written: asyncio.Future[None] | None = None
 
     @property
@@ -131,7 +134,7 @@
         self.timeout_start = self.loop.time()
         if self.all_written and not self.all_written.done():
             self.all_written.set_result(None)
-        if self.closing and self.idle and not self.discards_input:
+        if self.closing and self.idle and not (self.discards_input or self.evicted):
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
         self.on_replies_written()
--- a/gatebank/proxy/resp2/codec.py
+++ b/gatebank/proxy/resp2/codec.py
@@ -309,6 +309,10 @@
         self.end = len(rest)
         self.release_growth()
 
+    def is_skipping(self) -> bool:
+        """Return whether the rest of a command is dropped as it arrives."""
+        return bool(self.skipped_bytes or self.skipped_arguments)
+
     def finish_skipping(self) -> bool:
         """Drop what has arrived of a command that is skipped; return whether its end has been reached.
 
@@ -354,6 +358,26 @@
             self.blank_bytes = 0
             yield values  # type: ignore[misc]  # There are no nulls, as the minimum length is 0.
 
+    def count_commands(self, limit: int) -> int:
+        r"""Return the number of complete commands in the buffer, which stay there; at most ``limit``.
+
+        >>> buffer = Resp2Buffer.from_bytes(b"*1\r\n$1\r\na\r\n*1\r\n$1\r\nb\r\n*1\r\n")
+        >>> buffer.count_commands(8), buffer.count_commands(1), len(list(buffer.commands()))
+        (2, 1, 2)
+        """
+        if self.is_skipping():
+            return 0
+        start, bytes_needed = self.start, self.bytes_needed
+        count = 0
+        try:
+            while count < limit and self.start < self.end and (parsed := self.parse_array(0)):
+                self.start = parsed[1]
+                count += 1
+        except ProtocolError:  # What follows is malformed.
+            pass
+        self.start, self.bytes_needed = start, bytes_needed
+        return count
+
     def replies(self) -> Iterator[Reply]:
         """Yield the complete replies.
 
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.support.flooded_instance import MB, FloodedInstance
+from tests.support.flooded_instance import MB, FloodedInstance, Observation
 from tests.support.ordinary_clients import TIMEOUT_S
 
 pytestmark = pytest.mark.uvloop
@@ -14,6 +14,7 @@
 LEAST_MEMORY_MB = 32  # The least that the operators' pages name.
 USUAL_MEMORY_MB = 192
 DESCRIPTORS = 1024
+FEW_DESCRIPTORS = 256  # The fewest that the operators' pages name.
 FLOOD_PROGRAMS = 3  # Enough for more bytes than a quarter of a core can handle.
 SHARE_OF_CORE = 0.25  # The first deployment gives an instance 250 ms of processor time in a second.
 SHORT_TIMEOUTS_MS = ("200", "400", "900", "2000")
@@ -71,6 +72,14 @@
     await check_flood(kind, 500, LEAST_MEMORY_MB, CROWD_S)
 
 
+async def test_crowd_that_never_waits_for_answers_leaves_new_clients_a_place() -> None:
+    """Guards against clients with requests in a row without end that hold all places (review/6)."""
+    async with FloodedInstance(USUAL_MEMORY_MB, FEW_DESCRIPTORS) as instance:
+        observation = await instance.play("patient", 180, SINGLE_CLIENT_S, ("anew", *SHORT_TIMEOUTS_MS))
+        assert instance.process.process.returncode is None, "".join(observation.log[-8:])
+    check_ordinary_clients(observation, instance)
+
+
 @pytest.mark.parametrize(
     "kind",
     [
@@ -109,7 +118,12 @@
     async with FloodedInstance(USUAL_MEMORY_MB, DESCRIPTORS, SHARE_OF_CORE) as instance:
         observation = await instance.play(kind, 300, SINGLE_CLIENT_S, ordinary_words, FLOOD_PROGRAMS)
         assert instance.process.process.returncode is None, "".join(observation.log[-8:])
-        reached = {arguments[2].decode() for _, arguments in instance.scenario.world.received}
+    check_ordinary_clients(observation, instance)
+
+
+def check_ordinary_clients(observation: Observation, instance: FloodedInstance) -> None:
+    """Check that no ordinary request was lost in a flood."""
+    reached = {arguments[2].decode() for _, arguments in instance.scenario.world.received}
     text = str(observation)
     ordinary = observation.ordinary
     assert "none" not in ordinary.answers, text
