--- a/gatebank/proxy/downstream/listener.py
+++ b/gatebank/proxy/downstream/listener.py
@@ -12,7 +12,7 @@
 
 from gatebank.proxy.buffers import MemoryBudget
 from gatebank.proxy.configuration import Address, MemoryBounds
-from gatebank.proxy.downstream import limits
+from gatebank.proxy.downstream import limits, room
 from gatebank.proxy.downstream.close_reason import CloseReason
 from gatebank.proxy.downstream.connection import ClientConnection
 from gatebank.proxy.downstream.replies import RequestHandler
@@ -115,8 +115,7 @@
         places are taken, each accepted connection gets that of one which has its error line and only lingers.
         """
         listener = self.listener
-        lingering = [connection for connection in self.connections if connection.is_lingering]
-        lingering.reverse()
+        lingering = room.choose_lingering(self.connections)
         for _ in range(limits.MAX_ACCEPTS_PER_TURN):
             is_full = len(self.connections) >= self.max_connections
             if not listener or (is_full and not lingering):
@@ -194,65 +193,28 @@
         requests, and some keep a connection open for good after one request; the bound lets others still
         connect.
         """
-        idle = [
-            connection
-            for connection in self.connections
-            if connection.idle and connection.has_sent_command and not connection.closing
-        ]
-        for connection in idle[: max(0, len(idle) - self.max_connections // 3)]:
-            if not connection.partial_command_since and not connection.close_would_lose_data(
-                self.loop.time()
-            ):
-                connection.close(CloseReason.SURPLUS)
+        max_idle = self.max_connections // 3
+        for connection in room.choose_surplus(self.connections, max_idle, self.loop.time()):
+            connection.close(CloseReason.SURPLUS)
 
     def make_room(self, newest: ClientConnection | None) -> bool:
         """Close one idle connection other than the newest, to make room for another.
 
-        The first candidates are connections whose reading has ended and those that had time to send a command
-        and did not, as clients that only connect must not displace ordinary ones. Next come the other idle
-        connections, the least recently used first, and at last those whose clients do not take their answers.
-
         Returns:
             False if no connection may be closed.
         """
-        now = self.loop.time()
-        idle = [
-            connection
-            for connection in self.connections
-            if connection.idle and not connection.evicted and connection is not newest
-        ]
-        unused = [
-            connection
-            for connection in idle
-            if connection.closing or (not connection.has_sent_command and is_past_grace(connection, now))
-        ]
-        used = [connection for connection in idle if connection.has_sent_command and not connection.closing]
-        candidates = unused + used
-        closable = (
-            connection
-            for connection in candidates
-            if connection.closing or not connection.close_would_lose_data(now)
-        )
-        chosen = next(closable, None) or next(
-            (connection for connection in used if connection.answer_is_untaken(now)), None
-        )
+        chosen = room.choose_idle(self.connections, newest, self.loop.time())
         if chosen:
             chosen.close(CloseReason.MAKE_ROOM)
         return chosen is not None
 
     def evict_some(self) -> None:
-        """End some of the connections whose clients do not wait for answers, the least recent first.
-
-        A client that sends without a pause always has commands waiting, and would hold its place for good.
-        Ordinary clients send a command when they have the answer to the last one (PROTOCOL): they are not
-        ended.
-        """
-        now = self.loop.time()
+        """End some of the connections whose clients do not wait for answers."""
         connections = list(self.connections)
         for connection in connections:
             connection.close_if_evicted()
-        chosen = (connection for connection in connections if connection.may_be_evicted(now))
-        for connection in islice(chosen, limits.EVICTIONS_PER_TURN):
+        busy = room.choose_busy(connections, self.loop.time())
+        for connection in islice(busy, limits.EVICTIONS_PER_TURN):
             connection.evict()
 
     def close_stalled_commands(self, size: int) -> None:
@@ -260,14 +222,7 @@
 
         The memory for receive buffers is used up, and a client that goes on sending needs some.
         """
-        silent_since = self.loop.time() - limits.STALLED_COMMAND_S
-        stalled = [
-            connection
-            for connection in self.connections
-            if connection.has_stopped_within_command() and connection.last_bytes_at <= silent_since
-        ]
-        stalled.sort(key=lambda connection: connection.last_bytes_at)
-        for connection in stalled:
+        for connection in room.choose_stalled(self.connections, self.loop.time()):
             if self.buffer_budget.available >= size:
                 return
             connection.end_partial_command("no room for a message so long")
@@ -306,7 +261,7 @@
         now = self.loop.time()
         if not connection.partial_command_since and not connection.close_would_lose_data(now):
             # A client that has just connected may be about to send its first command.
-            if connection.has_sent_command or is_past_grace(connection, now):
+            if connection.has_sent_command or room.is_past_grace(connection, now):
                 connection.close(CloseReason.SHUTDOWN)
         elif self.time_until_sigkill() < limits.STOP_READING_MARGIN_S and not connection.is_being_read():
             connection.stop_reading()
@@ -390,11 +345,6 @@
         return counts
 
 
-def is_past_grace(connection: ClientConnection, now: float) -> bool:
-    """Return whether the time for a new connection's first command is over."""
-    return now - connection.timeout_start >= limits.FIRST_COMMAND_GRACE_S
-
-
 def longest_deadline(settings: Settings) -> float:
     """Return the longest deadline of the request classes in seconds, at most MAX_COUNTED_DEADLINE_S."""
     longest = limits.MAX_COUNTED_DEADLINE_S
