--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -235,6 +235,7 @@
         unsolicited_answers: Time, instance and text of each answer to which no request belongs.
         unanswered_partial_commands: Seconds and instance of each client that stopped within a command and
             did not get an error or the end of its connection in time.
+        processor_stops: Times in which an instance with a part of a core had no processor time.
         memory_peaks: Highest RssAnon of each instance's processes, in bytes.
         faults_played: How many faults of each kind were carried out.
     """
@@ -250,6 +251,7 @@
     usage_after: list[ProcessUsage] = field(default_factory=list)
     stalls: list[Stall] = field(default_factory=list)
     instance_stalls: list[InstanceStall] = field(default_factory=list)
+    processor_stops: list[InstanceStall] = field(default_factory=list)
     crowds: list[Crowd] = field(default_factory=list)
     unsolicited_answers: list[tuple[float, int, bytes]] = field(default_factory=list)
     unanswered_partial_commands: list[tuple[float, int]] = field(default_factory=list)
@@ -268,6 +270,14 @@
             max(0.0, min(end, stall_end) - max(begin, stall_begin)) for stall_begin, stall_end in spans
         )
 
+    def stopped_seconds(self, begin: float, end: float, instance: int) -> float:
+        """Return the seconds in a span in which an instance with a part of a core had no processor time."""
+        return sum(
+            max(0.0, min(end, stop.end) - max(begin, stop.begin))
+            for stop in self.processor_stops
+            if stop.instance == instance
+        )
+
     def is_during_crowd(self, instance: int, at: float) -> bool:
         """Return whether an instance was still reading a crowd's requests at a time."""
         return any(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,10 @@
 import pytest
 
 from tests.soak.play import play
+from tests.soak.records import ConnectionEnd, Incarnation, InstanceStall, Records, RequestRecord
+from tests.soak.rules.answers import check_answers
 from tests.soak.schedule import ClientBehaviour, Fault, FaultKind, Schedule, Site, draw_schedule
+from tests.soak.site_settings import make_limits, make_settings
 
 pytestmark = pytest.mark.uvloop
 
@@ -75,6 +78,33 @@
     assert result.requests > 100
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "stop", "is_lost"),
+    [
+        (0.04, None, False),
+        (0.06, None, True),
+        (0.06, InstanceStall(0, -0.08, -0.005), False),
+        (0.06, InstanceStall(1, -0.08, -0.005), True),
+        (0.30, InstanceStall(0, -0.08, -0.005), True),
+    ],
+)
+def test_request_that_crosses_the_end_of_its_connection(
+    sent_at: float, stop: InstanceStall | None, is_lost: bool
+) -> None:
+    """Unread at the end of its connection, a request is lost if it was sent ``sent_at`` seconds before.
+
+    An instance without processor time in between cannot see the request.
+    """
+    records = Records(make_limits(SITE, make_settings(SITE)))
+    records.incarnations.append(Incarnation(0, 0, 0.0))
+    request = RequestRecord(b"1", 0, 0, "read", 1.0, b"", True, sent_at=10.0 - sent_at)
+    request.end, request.ended_at = ConnectionEnd.REQUEST_UNREAD, 10.0
+    records.requests[request.id] = request
+    if stop:
+        records.processor_stops.append(InstanceStall(stop.instance, 10.0 + stop.begin, 10.0 + stop.end))
+    assert [violation.rule for violation in check_answers(records)] == ["lost"] * is_lost
+
+
 @pytest.mark.parametrize("schedule", [QUIET, STICKY_CANARY, STARVED_FLOOD])
 async def test_quiet_play_breaks_no_rule(schedule: Schedule, tmp_path: Path) -> None:
     """The basis of the broken instances' schedules breaks no rule, nor do some of these schedules."""
